--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"appleshed/decide"
-	"appleshed/internal/wire"
+	"cottonplank/decide"
+	"cottonplank/internal/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"appleshed/decide"
+	"cottonplank/decide"
 )
 
 // A host hands in events with its own clock and carries out the actions.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"appleshed/decide"
+	"cottonplank/decide"
 )
 
 // Host is what a Decoder hands events to, in their order of arrival. The clock
--- a/internal/wire/decode_test.go
+++ b/internal/wire/decode_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"appleshed/decide"
+	"cottonplank/decide"
 )
 
 // facts of a small deployment; a test adds or spoils fields.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"appleshed/decide"
+	"cottonplank/decide"
 )
 
 // Encoder writes replies.
--- a/internal/wire/encode_test.go
+++ b/internal/wire/encode_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"appleshed/decide"
+	"cottonplank/decide"
 )
 
 func TestActions(t *testing.T) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"appleshed/decide"
+	"cottonplank/decide"
 )
 
 // facts are the settings of a CREATE line. The first failed look-up is kept,
