--- /dev/null
+++ b/cmd/cottonplank/main.go
@@ -0,0 +1,131 @@
+// Command cottonplank is the balancer: it places live connections on room servers.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+
+	"cottonplank/internal/config"
+	"cottonplank/internal/core"
+	"cottonplank/internal/line"
+	"cottonplank/internal/resolver"
+
+	"github.com/sirupsen/logrus"
+)
+
+const usage = `usage: cottonplank COMMAND [FLAGS]
+
+  serve     run the balancer; configuration comes from PROXY_CONFIG
+  check     read and check the configuration, then exit
+  version   print the version
+
+`
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run returns the exit status: 0, 1 for a failure, 2 for bad usage.
+func run(args []string, out, errs io.Writer) int {
+	if len(args) == 0 {
+		fmt.Fprint(errs, usage)
+		return 2
+	}
+	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	flags.SetOutput(errs)
+	command, ok := map[string]func(io.Writer) error{"serve": serve, "check": check, "version": version}[args[0]]
+	if !ok {
+		fmt.Fprintf(errs, "cottonplank: unknown command %q\n%s", args[0], usage)
+		return 2
+	}
+	if err := flags.Parse(args[1:]); err != nil {
+		return 2
+	}
+	if flags.NArg() > 0 {
+		fmt.Fprintf(errs, "cottonplank %s: unexpected argument %q\n", args[0], flags.Arg(0))
+		return 2
+	}
+	if err := command(out); err != nil {
+		fmt.Fprintf(errs, "cottonplank %s: %v\n", args[0], err)
+		return 1
+	}
+	return 0
+}
+
+func version(out io.Writer) error {
+	v := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		v = info.Main.Version
+	}
+	_, err := fmt.Fprintln(out, "cottonplank", v)
+	return err
+}
+
+func check(out io.Writer) error {
+	cfg, err := config.Load()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s: %d classes, %d known room servers, %d requests may wait\n",
+		cfg.Name, len(cfg.Settings.Classes), len(cfg.Known), cfg.MaxChannels)
+	return err
+}
+
+func serve(io.Writer) error {
+	cfg, err := config.Load()
+	if err != nil {
+		return err
+	}
+	cfg.Apply()
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	module, err := core.New(core.Config{Settings: cfg.Settings, Known: cfg.Known, MaxChannels: cfg.MaxChannels,
+		Log: func(text string) { log.Info(text) }})
+	if err != nil {
+		return err
+	}
+	listener, err := line.Listen(cfg.Listen)
+	if err != nil {
+		return err
+	}
+
+	stop, unregister := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer unregister()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	prober := line.NewProber(ctx, module)
+	list := resolver.New(cfg.Discovery, cfg.Generation, module, log)
+	front := line.New(module, names(cfg), log)
+	var running sync.WaitGroup
+	running.Go(func() { list.Run(ctx) })
+	running.Go(func() { module.Run(ctx, prober, list); prober.Wait() })
+	running.Go(func() { front.Serve(ctx, listener) })
+	log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen, "known": len(cfg.Known)}).Info("serving")
+
+	<-stop.Done()
+	log.Info("stopping: answering what is here and moving what stands")
+	<-module.Drain(cfg.StopBudget)
+	s := module.Snapshot()
+	log.WithFields(logrus.Fields{"served": s.Served, "refused": s.Refused, "failed": s.Failed, "left": s.Left,
+		"moves": s.Moves, "silent": s.Silent, "probes": s.Probes, "attempts": s.Attempts}).Info("stopped")
+	cancel()
+	running.Wait()
+	return nil
+}
+
+func names(cfg *config.Config) line.Names {
+	n := line.Names{Classes: map[string]int{}, Tenants: map[string]bool{}}
+	for i, c := range cfg.Settings.Classes {
+		n.Classes[c.Name] = i
+	}
+	for _, t := range cfg.Tenants {
+		n.Tenants[t] = true
+	}
+	return n
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,272 @@
+// Package config is the one place where the balancer's configuration is read, checked and given defaults:
+// the PROXY_* variables and the JSON file that PROXY_CONFIG names. Errors name the faulty key and its value.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"time"
+
+	"cottonplank/decide"
+	"cottonplank/internal/core"
+	"cottonplank/internal/resolver"
+)
+
+// Defaults where the configuration is silent.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	memoryPart      = 0.7 // of the limit is the Go runtime's, the rest is what it does not count
+	spareSockets    = 160 // descriptors kept for probes, lists, listeners and channels that are refused
+	longestDeadline = 3 * time.Second
+	killAfter       = 700 * time.Millisecond // SIGKILL comes so long after the longest deadline
+	exitSpare       = 300 * time.Millisecond // kept of that for the exit itself
+)
+
+// Config is what the program uses.
+type Config struct {
+	Name        string
+	Listen      string
+	Discovery   string
+	Settings    decide.Settings
+	Tenants     []string
+	Known       []core.Instance
+	Generation  int64
+	Cores       float64
+	MemoryMB    int
+	Sockets     int
+	MaxChannels int           // requests that may wait for their answer
+	StopBudget  time.Duration // from SIGTERM to the end
+}
+
+// file is the form of the JSON that PROXY_CONFIG names; unknown keys are skipped.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings settings        `json:"settings"`
+}
+
+type settings struct {
+	Zone      string   `json:"zone"`
+	Areas     []string `json:"areas"`
+	Balancers int      `json:"balancers"`
+	Mode      string   `json:"membership_mode"`
+	Profiles  []struct {
+		Name     string  `json:"name"`
+		Aim      float64 `json:"aim_s"`
+		GiveUp   float64 `json:"give_up_s"`
+		Repeat   string  `json:"repeat"`
+		KeyScope string  `json:"key_scope"`
+		Window   float64 `json:"window_s"`
+	} `json:"profiles"`
+	Tenants []struct {
+		Name string `json:"name"`
+	} `json:"tenants"`
+	Limits struct {
+		ConnectTimeout float64 `json:"connect_timeout_s"`
+		MaxRetryAfter  float64 `json:"max_retry_after_s"`
+		RetryAfter     bool    `json:"retry_after"`
+		MayProbe       bool    `json:"may_probe"`
+		MostTries      int     `json:"most_tries"`
+	} `json:"limits"`
+	Rules struct {
+		MustAsk      float64 `json:"must_ask_in_s"`
+		DrainGrace   float64 `json:"drain_grace_s"`
+		ColdShare    float64 `json:"cold_share"`
+		Cold         float64 `json:"cold_s"`
+		FallMultiple float64 `json:"fall_multiple"`
+		Fall         float64 `json:"fall_s"`
+	} `json:"rules"`
+	Penalties struct {
+		Probe     float64 `json:"probe"`
+		Moves     float64 `json:"moves"`
+		CrossZone float64 `json:"cross_zone"`
+	} `json:"penalties"`
+	Specifics struct {
+		Groups     bool      `json:"groups"`
+		MessageAim []float64 `json:"message_aim_s"`
+	} `json:"specifics"`
+}
+
+// Load reads the configuration from the environment.
+func Load() (*Config, error) {
+	path := os.Getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, errors.New("PROXY_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	return Parse(raw, os.Getenv)
+}
+
+// Parse reads the JSON; the variables that getenv knows come before it.
+func Parse(raw []byte, getenv func(string) string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return nil, describe(err)
+	}
+	c := &Config{
+		Name: override(getenv("PROXY_NAME"), f.Name), Listen: override(getenv("PROXY_LISTEN"), f.Listen),
+		Discovery: override(getenv("PROXY_DISCOVERY"), f.Discovery),
+		Cores:     f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+	}
+	if c.Name == "" {
+		return nil, errors.New("name: is missing")
+	}
+	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return nil, fmt.Errorf("%s: %q is no address and port", a.key, a.value)
+		}
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", f.Seed)
+	}
+	if err := c.limits(); err != nil {
+		return nil, err
+	}
+	if len(f.Known) > 0 && string(f.Known) != "null" {
+		known, err := resolver.Decode(f.Known)
+		if err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+		c.Known, c.Generation = known.Instances, known.Generation
+	}
+	if c.Settings, err = f.Settings.decode(); err != nil {
+		return nil, fmt.Errorf("settings.%w", err)
+	}
+	c.Settings.Seed = seed
+	for _, t := range f.Settings.Tenants {
+		c.Tenants = append(c.Tenants, t.Name)
+	}
+	longest := time.Duration(0)
+	for _, class := range c.Settings.Classes {
+		longest = max(longest, class.GiveUp)
+	}
+	c.StopBudget = min(longest, longestDeadline) + killAfter - exitSpare
+	return c, nil
+}
+
+// describe names the key that a JSON error is about.
+func describe(err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Errorf("%s: a %s was expected, found %s", wrong.Field, wrong.Type, wrong.Value)
+	}
+	return fmt.Errorf("configuration: %w", err)
+}
+
+func override(env, file string) string {
+	if env != "" {
+		return env
+	}
+	return file
+}
+
+func (c *Config) limits() error {
+	if c.Cores < 0 || math.IsNaN(c.Cores) {
+		return fmt.Errorf("limits.cores: %v is below 0", c.Cores)
+	}
+	if c.MemoryMB < 0 || c.Sockets < 0 {
+		return fmt.Errorf("limits: memory_mb %d or sockets %d is below 0", c.MemoryMB, c.Sockets)
+	}
+	if c.Cores == 0 {
+		c.Cores = 1
+	}
+	if c.MemoryMB == 0 {
+		c.MemoryMB = defaultMemoryMB
+	}
+	if c.Sockets == 0 {
+		c.Sockets = defaultSockets
+	}
+	if c.Sockets < 2*spareSockets {
+		return fmt.Errorf("limits.sockets: %d is too few, %d at least", c.Sockets, 2*spareSockets)
+	}
+	c.MaxChannels = (min(c.Sockets, defaultSockets) - spareSockets) / 2
+	return nil
+}
+
+// Apply gives the limits to the Go runtime.
+func (c *Config) Apply() {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
+	debug.SetMemoryLimit(int64(float64(c.MemoryMB) * memoryPart * (1 << 20)))
+}
+
+func seconds(v float64) time.Duration { return time.Duration(math.Round(v * float64(time.Second))) }
+
+var repeats = map[string]decide.Repeat{"idempotent": decide.Safe, "deduplicated": decide.Keyed,
+	"at_most_once": decide.Unsafe}
+
+var scopes = map[string]decide.KeyScope{"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone,
+	"cell": decide.ScopeCell}
+
+func (s *settings) decode() (out decide.Settings, err error) {
+	if s.Zone == "" {
+		return out, errors.New("zone: is missing")
+	}
+	if len(s.Areas) > 0 && !slices.Contains(s.Areas, s.Zone) {
+		return out, fmt.Errorf("zone: %q is not in areas %q", s.Zone, s.Areas)
+	}
+	if s.Mode != "subscribe" && s.Mode != "automatic" {
+		return out, fmt.Errorf("membership_mode: %q is neither subscribe nor automatic", s.Mode)
+	}
+	if len(s.Profiles) == 0 {
+		return out, errors.New("profiles: is empty")
+	}
+	l, r, p := s.Limits, s.Rules, s.Penalties
+	out = decide.Settings{
+		Zone: s.Zone, Zones: s.Areas, Balancers: s.Balancers, Subscribe: s.Mode == "subscribe",
+		MaxTries: l.MostTries, ConnectTimeout: seconds(l.ConnectTimeout), MayProbe: l.MayProbe,
+		Groups: s.Specifics.Groups,
+		Rules: decide.Rules{DrainGrace: seconds(r.DrainGrace), MustAsk: seconds(r.MustAsk), ColdShare: r.ColdShare,
+			Cold: seconds(r.Cold), FallMultiple: r.FallMultiple, Fall: seconds(r.Fall)},
+		Prices: decide.Prices{Probe: p.Probe, Move: p.Moves, CrossZone: p.CrossZone},
+	}
+	if l.RetryAfter {
+		out.MaxRetryAfter = seconds(l.MaxRetryAfter)
+	}
+	for i, c := range s.Profiles {
+		repeat, ok := repeats[c.Repeat]
+		if !ok {
+			return out, fmt.Errorf("profiles[%d].repeat: unknown value %q", i, c.Repeat)
+		}
+		scope, ok := scopes[c.KeyScope]
+		if !ok {
+			return out, fmt.Errorf("profiles[%d].key_scope: unknown value %q", i, c.KeyScope)
+		}
+		if c.Name == "" {
+			return out, fmt.Errorf("profiles[%d].name: is missing", i)
+		}
+		if !(c.Aim > 0) {
+			return out, fmt.Errorf("profiles[%d].aim_s: %v is not above 0", i, c.Aim)
+		}
+		class := decide.Class{Name: c.Name, Aim: seconds(c.Aim), GiveUp: seconds(c.GiveUp), Repeat: repeat,
+			Window: seconds(c.Window)}
+		if repeat == decide.Keyed {
+			class.Scope = scope
+		}
+		if i < len(s.Specifics.MessageAim) {
+			class.MessageAim = seconds(s.Specifics.MessageAim[i])
+		}
+		out.Classes = append(out.Classes, class)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/core/call.go
@@ -0,0 +1,351 @@
+package core
+
+import (
+	"time"
+
+	"cottonplank/decide"
+)
+
+// phase is how far a call has come.
+type phase uint8
+
+const (
+	accepted phase = iota // a channel is open and has asked for nothing
+	pending               // the request has no final answer
+	standing              // a room server's answer was passed on; the connection is open
+	answered              // the one final answer was given, or the connection has ended
+)
+
+// Call is one client's request from its channel's opening to its close. The module's actor owns its fields.
+type Call struct {
+	m  *Module
+	ch Channel
+	id decide.RequestID
+
+	phase    phase
+	req      Request
+	n        int // the latest attempt, -1 before the first
+	first    int // the attempt that the decision module counts as 0
+	out      bool
+	server   *subchannel // of the latest attempt
+	sent     time.Duration
+	reopen   string // the instance at which it was open before the start
+	patience time.Duration
+	moved    bool
+
+	connect, wait, silence, end *deadline
+}
+
+// Accept tells that a channel is open; its first line is awaited.
+func (m *Module) Accept(ch Channel) *Call {
+	c := &Call{m: m, ch: ch, n: -1}
+	m.post(func() {
+		m.open[c] = struct{}{}
+		c.end = m.deadlines.set(m.now+firstLineWait, ch.Drop)
+	})
+	return c
+}
+
+// Request tells what a channel asks for. Exactly one final answer follows while the channel stays open.
+func (m *Module) Request(c *Call, r Request) {
+	m.post(func() {
+		if !c.begin(r) {
+			return
+		}
+		m.handle(decide.Requested{ID: c.id, Class: r.Class, Key: r.Key, Group: r.Group,
+			Remaining: c.remaining(), Load: r.Load, Returning: r.Returning})
+	})
+}
+
+// Reopen tells of a connection that was open at an instance before the start. It is opened there and nowhere
+// else, within patience; a server that is not listed is waited for as long.
+func (m *Module) Reopen(c *Call, r Request, instance string, patience time.Duration) {
+	m.post(func() {
+		if c.phase != accepted {
+			return
+		}
+		c.req, c.reopen, c.phase = r, instance, pending
+		c.patience = m.now + patience
+		m.deadlines.drop(c.end)
+		m.waiting++
+		c.tryReopen()
+	})
+}
+
+// begin takes a request on, or answers it at once where there are too many.
+func (c *Call) begin(r Request) bool {
+	m := c.m
+	if c.phase != accepted {
+		return false
+	}
+	m.deadlines.drop(c.end)
+	c.req, c.phase = r, pending
+	m.waiting++
+	// Guards the descriptors and the memory: past the bound nothing is dialled any more.
+	if m.waiting > m.cfg.MaxChannels || m.drainEnds() {
+		c.refuse(busyRetry)
+		return false
+	}
+	c.id = m.newID()
+	m.calls[c.id] = c
+	return true
+}
+
+func (c *Call) remaining() time.Duration {
+	return clockStart + c.req.Deadline.Sub(c.m.epoch) - c.m.now
+}
+
+func (c *Call) tryReopen() {
+	if c.phase != pending {
+		return
+	}
+	if c.m.now >= c.patience {
+		c.fail()
+		return
+	}
+	s := c.m.subchannels[ServerID(c.reopen)]
+	if s == nil || s.state == decide.Gone {
+		if c.m.now+reopenPause > c.patience {
+			c.fail()
+			return
+		}
+		c.retryReopen()
+		return
+	}
+	c.attempt(s, c.patience-c.m.now)
+}
+
+func (c *Call) retryReopen() {
+	c.end = c.m.deadlines.set(min(c.m.now+reopenPause, c.patience), c.tryReopen)
+}
+
+// attempt starts the next call attempt.
+func (c *Call) attempt(s *subchannel, wait time.Duration) {
+	m := c.m
+	c.n++
+	n := c.n
+	c.out, c.server, c.sent = true, s, m.now
+	s.attempts++
+	m.counters.Attempts++
+	c.wait = m.deadlines.set(m.now+wait, func() { c.giveUp(n, decide.TimedOut) })
+	if t := m.cfg.Settings.ConnectTimeout; t > 0 && t < wait {
+		c.connect = m.deadlines.set(m.now+t+connectSlack, func() { c.giveUp(n, decide.ConnectFailed) })
+	}
+	c.ch.Attempt(CallAttempt{N: n, Server: s.Subchannel, Wait: wait})
+}
+
+// giveUp ends an attempt that brought no answer in time. The order goes to the channel before any order for
+// the next attempt, so that two attempts are never out together.
+func (c *Call) giveUp(n int, code decide.Code) {
+	if c.out && c.n == n && c.phase == pending {
+		c.ch.GiveUp(n)
+		c.ended(n, code, decide.NoReport)
+	}
+}
+
+// Connected tells that an attempt's line is with a room server: its connect timeout runs no more.
+func (m *Module) Connected(c *Call, n int) {
+	m.post(func() {
+		if c.out && c.n == n {
+			m.deadlines.drop(c.connect)
+		}
+	})
+}
+
+// Up tells that a room server has taken an attempt. Only the attempt that is out may stand.
+func (m *Module) Up(c *Call, n int) {
+	m.post(func() {
+		if !c.out || c.n != n || c.phase != pending {
+			return
+		}
+		c.stopClocks()
+		c.phase = standing
+		m.waiting--
+		m.counters.Served++
+		c.server.open++
+		c.ch.Stand(n)
+		if c.reopen != "" {
+			c.id, c.first = m.newID(), n
+			m.calls[c.id] = c
+			m.handle(decide.Opened{Request: decide.Requested{ID: c.id, Class: c.req.Class, Key: c.req.Key,
+				Group: c.req.Group, Load: c.req.Load, Returning: c.req.Returning}, Server: c.server.ID})
+		} else {
+			m.handle(decide.Established{ID: c.id, Attempt: n, Server: c.server.ID, Took: m.now - c.sent})
+		}
+		if m.drain != nil && m.drain.moving {
+			c.move()
+		}
+	})
+}
+
+// Ended tells how an attempt or a standing connection ended. Its transport to the room server is closed.
+func (m *Module) Ended(c *Call, n int, code decide.Code, report decide.Report) {
+	m.post(func() { c.ended(n, code, report) })
+}
+
+func (c *Call) ended(n int, code decide.Code, report decide.Report) {
+	if !c.out || c.n != n {
+		return // it was given up before
+	}
+	m := c.m
+	c.out = false
+	c.stopClocks()
+	final := c.phase != pending
+	if c.phase == standing {
+		c.server.open--
+		c.phase = answered
+	}
+	if c.reopen != "" && !final {
+		c.retryReopen()
+		return
+	}
+	id, first := c.id, c.first
+	if final {
+		delete(m.calls, id)
+	}
+	m.handle(decide.Ended{ID: id, Attempt: n - first, Server: c.server.ID, Code: code, Final: final,
+		Took: m.now - c.sent, Report: report})
+}
+
+// stopClocks takes back the deadlines of the attempt that is out.
+func (c *Call) stopClocks() {
+	c.m.deadlines.drop(c.connect)
+	c.m.deadlines.drop(c.wait)
+	c.m.deadlines.drop(c.silence)
+	c.connect, c.wait, c.silence = nil, nil, nil
+}
+
+// settle ends the wait for a final answer, once for each request: what comes later finds phase answered.
+func (c *Call) settle() bool {
+	if c.phase != pending {
+		return false
+	}
+	m := c.m
+	c.phase = answered
+	m.waiting--
+	c.end = m.deadlines.set(m.now+lingerWait, c.ch.Drop)
+	return true
+}
+
+// settled closes the attempt that is still out for the decision module; the channel closes its transport
+// with the answer.
+func (c *Call) settled() {
+	if c.out {
+		code := decide.Cancelled
+		if c.wait != nil && c.wait.at <= c.m.now {
+			code = decide.TimedOut // the request's deadline and the attempt's fell due together
+		}
+		c.ended(c.n, code, decide.NoReport)
+	}
+	delete(c.m.calls, c.id)
+}
+
+func (c *Call) refuse(retryAfter time.Duration) {
+	if c.settle() {
+		c.m.counters.Refused++
+		c.ch.Unavailable(retryAfter)
+		c.settled()
+	}
+}
+
+func (c *Call) fail() {
+	if c.settle() {
+		c.m.counters.Failed++
+		c.ch.Fail()
+		c.settled()
+	}
+}
+
+// Malformed tells that a channel's first line is no request; it is answered as failed.
+func (m *Module) Malformed(c *Call) {
+	m.post(func() {
+		if c.phase != accepted {
+			return
+		}
+		m.deadlines.drop(c.end)
+		c.phase = pending
+		m.waiting++
+		c.fail()
+	})
+}
+
+// move sends a standing connection's client away.
+func (c *Call) move() {
+	if c.phase != standing || c.moved {
+		return
+	}
+	c.moved = true
+	c.m.counters.Moves++
+	c.m.deadlines.drop(c.silence)
+	c.ch.Move()
+	// Guards against a client that reads nothing any more: the move must not wait for it.
+	c.end = c.m.deadlines.set(c.m.now+moveWait, c.ch.Drop)
+}
+
+// Awaiting tells that a standing connection's client sent something that the server has not answered yet.
+func (m *Module) Awaiting(c *Call) {
+	m.post(func() {
+		if c.phase == standing && !c.moved {
+			m.deadlines.drop(c.silence)
+			c.silence = m.deadlines.set(m.now+silenceWait, func() { c.silent() })
+		}
+	})
+}
+
+// Answered tells that the server brought something back.
+func (m *Module) Answered(c *Call) {
+	m.post(func() {
+		m.deadlines.drop(c.silence)
+		c.silence = nil
+	})
+}
+
+// silent moves the client of a server that vanished without a word: TCP does not notice that, and the
+// decision module learns of a broken connection.
+func (c *Call) silent() {
+	if c.phase == standing && !c.moved {
+		c.m.counters.Silent++
+		c.move()
+		c.ended(c.n, decide.Reset, decide.NoReport)
+	}
+}
+
+// Lingering tells that one side of a standing connection has ended; the other gets a while to follow.
+func (m *Module) Lingering(c *Call) {
+	m.post(func() {
+		m.deadlines.drop(c.end)
+		c.end = m.deadlines.set(m.now+lingerWait, c.ch.Drop)
+	})
+}
+
+// Load tells the present load of a standing connection, in seconds of work a second.
+func (m *Module) Load(c *Call, load float64) {
+	m.post(func() {
+		if c.phase == standing {
+			m.handle(decide.LoadChanged{ID: c.id, Load: load})
+		}
+	})
+}
+
+// Closed tells that a channel and all that belonged to it are closed. A client that left before its answer
+// is owed nothing.
+func (m *Module) Closed(c *Call) {
+	m.post(func() {
+		m.deadlines.drop(c.end)
+		if c.phase == pending {
+			c.phase = answered
+			m.waiting--
+			m.counters.Left++
+			if m.calls[c.id] == c {
+				delete(m.calls, c.id)
+				m.handle(decide.ClientGone{ID: c.id})
+			}
+		}
+		if c.out {
+			c.ended(c.n, decide.Cancelled, decide.NoReport)
+		}
+		c.stopClocks()
+		delete(m.open, c)
+		m.drained()
+	})
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,102 @@
+// Package core runs the decision module of one balancer. It knows no wire: fronts tell it what happens to
+// their channels, it turns that into the module's events, and it hands the module's actions back through
+// the interfaces of this file. One actor, the module's, owns all state here; every deadline of the process
+// stands in its one sorted structure.
+package core
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"cottonplank/decide"
+)
+
+// Channel is the client's side of one request, as a front implements it. The module's actor calls it and
+// must never wait for a peer: an implementation puts the call into its own actor's mailbox and returns.
+type Channel interface {
+	// Attempt starts a call attempt. An earlier one has been given up or has ended; its transport is
+	// closed before anything of the new one is sent.
+	Attempt(CallAttempt)
+	// GiveUp ends a call attempt that has no answer.
+	GiveUp(n int)
+	// Stand passes the room server's answer of attempt n to the client and relays from then on.
+	Stand(n int)
+	// Unavailable answers that trying again is harmless, after a while if that is not 0, and closes.
+	Unavailable(retryAfter time.Duration)
+	// Fail answers that the request failed and closes.
+	Fail()
+	// Move sends the client of a standing connection away politely and closes both sides.
+	Move()
+	// Drop closes whatever is still open, at once.
+	Drop()
+}
+
+// CallAttempt is one attempt of a request at one room server.
+type CallAttempt struct {
+	N      int
+	Server Subchannel
+	Wait   time.Duration // how long the core waits for it to stand
+}
+
+// Subchannel names a room server and says where it is.
+type Subchannel struct {
+	ID       decide.ServerID
+	Instance string
+	Address  string
+}
+
+// Prober asks room servers for their load reports. Probe must not block; the result goes to Module.Probed
+// unless ctx ends first, and Forget ends what is kept for a server that is gone.
+type Prober interface {
+	Probe(ctx context.Context, seq uint64, server Subchannel)
+	Forget(server decide.ServerID)
+}
+
+// Resolver asks discovery. Both calls must not block; what comes goes to Module.Resolved and Module.ListAlive
+// until ctx ends.
+type Resolver interface {
+	Subscribe(ctx context.Context)
+	FetchList(ctx context.Context)
+}
+
+// Instance is one line of a resolver result.
+type Instance struct {
+	decide.Server
+	Name    string
+	Address string
+	Started time.Time // zero: long ago
+}
+
+// Result is a resolver result: the whole list, changes to it, or a failed call.
+type Result struct {
+	Kind      decide.ListKind
+	Instances []Instance
+}
+
+// Request is what a client asks for.
+type Request struct {
+	Class     int
+	Key       string
+	Group     string
+	Deadline  time.Time // when the client stops waiting
+	Load      float64   // expected work, in seconds a second; 0: unknown
+	Returning bool
+}
+
+// ServerID derives the module's name of a room server from its instance id, equal at all balancers and
+// after a restart, as a group's servers and connection ids depend on it.
+func ServerID(instance string) decide.ServerID {
+	h := fnv.New32a()
+	h.Write([]byte(instance))
+	return decide.ServerID(h.Sum32())
+}
+
+// Config is what a Module starts with.
+type Config struct {
+	Settings decide.Settings
+	Known    []Instance // the room servers as this balancer last had them
+	// MaxChannels bounds the requests that wait for their answer; one past it is unavailable at once.
+	MaxChannels int
+	Log         func(text string)
+}
--- /dev/null
+++ b/internal/core/drain.go
@@ -0,0 +1,70 @@
+package core
+
+import "time"
+
+// Times of a planned stop, from its signal on.
+const (
+	drainGrace = 450 * time.Millisecond // new clients go on coming for up to 400 ms
+	drainSpare = 300 * time.Millisecond // left of the budget when the last requests are refused
+	drainLeast = 900 * time.Millisecond // it does not end sooner, for what comes late
+)
+
+// drain is a planned stop: what arrives in the grace is served, all is answered, all standing clients are moved.
+type drain struct {
+	moving bool // standing clients are sent away, also those that stand from now on
+	ending bool // what comes now is refused at once
+	least  bool
+	done   chan struct{}
+	closed bool
+}
+
+// Drain begins a planned stop that must be over within budget; the channel closes when it is.
+func (m *Module) Drain(budget time.Duration) <-chan struct{} {
+	done := make(chan struct{})
+	m.post(func() {
+		if m.drain != nil {
+			return
+		}
+		m.drain = &drain{done: done}
+		m.deadlines.set(m.now+drainGrace, func() {
+			m.drain.moving = true
+			for c := range m.open {
+				c.move()
+			}
+		})
+		m.deadlines.set(m.now+drainLeast, func() {
+			m.drain.least = true
+			m.drained()
+		})
+		m.deadlines.set(m.now+budget-drainSpare, func() {
+			m.drain.ending = true
+			for c := range m.open {
+				c.refuse(busyRetry)
+			}
+		})
+		m.deadlines.set(m.now+budget, m.drainOver)
+	})
+	return done
+}
+
+func (m *Module) drainEnds() bool { return m.drain != nil && m.drain.ending }
+
+// drained ends the drain early once no request waits and nothing stands.
+func (m *Module) drained() {
+	if m.drain == nil || !m.drain.least {
+		return
+	}
+	for c := range m.open {
+		if c.phase != accepted {
+			return
+		}
+	}
+	m.drainOver()
+}
+
+func (m *Module) drainOver() {
+	if !m.drain.closed {
+		m.drain.closed = true
+		close(m.drain.done)
+	}
+}
--- /dev/null
+++ b/internal/core/module.go
@@ -0,0 +1,340 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"cottonplank/decide"
+)
+
+// Times of the core.
+const (
+	clockStart = 24 * time.Hour // the host clock's reading at the start, so that earlier starts stay above 0
+
+	firstLineWait = 15 * time.Second       // a channel that has asked for nothing is dropped after this
+	silenceWait   = 3 * time.Second        // a standing connection that brings nothing back is moved after this
+	lingerWait    = 500 * time.Millisecond // a side that does not close after the other is dropped after this
+	moveWait      = 900 * time.Millisecond // a moved client that takes nothing any more is dropped after this
+	connectSlack  = 20 * time.Millisecond  // the machine's own delay, on top of the connect timeout
+	probeWait     = 200 * time.Millisecond // a probe without answer counts as timed out
+	listWait      = 4 * time.Second        // a call to discovery without any answer has failed
+	watchWait     = 6 * time.Second        // a watch that brings not even empty lines hangs
+	reopenPause   = 250 * time.Millisecond // between dials for a connection that was open before the start
+	busyRetry     = time.Second            // told to clients past the bound on channels
+	snapshotEvery = time.Second
+)
+
+// Module is the module's actor: it owns the decision module, the calls, the subchannels and all deadlines.
+type Module struct {
+	cfg      Config
+	balancer *decide.Balancer
+	prober   Prober
+	resolver Resolver
+
+	inbox chan func()
+	done  chan struct{}
+	epoch time.Time
+
+	// Owned by Run's goroutine.
+	ctx         context.Context
+	now         time.Duration
+	deadlines   *deadlines
+	events      []decide.Event
+	handling    bool
+	lastID      uint64
+	open        map[*Call]struct{}              // channels that have not closed
+	calls       map[decide.RequestID]*Call      // requests that the decision module still knows
+	subchannels map[decide.ServerID]*subchannel // every room server that was ever listed and may still be named
+	probes      map[uint64]*probe
+	probeSeq    uint64
+	watch       *listCall // the subscription
+	fetch       *listCall
+	waiting     int // requests that have no final answer and do not stand
+	drain       *drain
+	counters    Counters
+	listAt      time.Duration
+
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// subchannel is what the core keeps of one room server.
+type subchannel struct {
+	Subchannel
+	zone     string
+	state    decide.State
+	open     int // connections that stand
+	attempts uint64
+	load     float64
+}
+
+type probe struct {
+	server decide.ServerID
+	sent   time.Duration
+	cancel context.CancelFunc
+	due    *deadline
+}
+
+type listCall struct {
+	cancel context.CancelFunc
+	due    *deadline
+}
+
+// New checks the settings and returns a module that Run starts.
+func New(cfg Config) (*Module, error) {
+	b, err := decide.New(cfg.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("decision module: %w", err)
+	}
+	m := &Module{
+		cfg: cfg, balancer: b, epoch: time.Now(),
+		inbox: make(chan func(), 1024), done: make(chan struct{}),
+		deadlines: newDeadlines(), open: map[*Call]struct{}{}, calls: map[decide.RequestID]*Call{},
+		subchannels: map[decide.ServerID]*subchannel{}, probes: map[uint64]*probe{},
+	}
+	m.now = clockStart
+	m.listAt = m.now
+	m.publish()
+	return m, nil
+}
+
+// Run serves until ctx ends. The prober and the resolver are called from its goroutine alone.
+func (m *Module) Run(ctx context.Context, prober Prober, resolver Resolver) {
+	defer close(m.done)
+	m.ctx, m.prober, m.resolver = ctx, prober, resolver
+	m.tick()
+	m.handle(decide.Started{})
+	m.resolved(Result{Kind: decide.ListRestored, Instances: m.cfg.Known})
+	m.publishLater()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case turn := <-m.inbox:
+			m.tick()
+			turn()
+		case <-timer.C:
+		}
+		m.tick()
+		m.deadlines.sweep(m.now)
+		if at, ok := m.deadlines.next(); ok {
+			timer.Reset(max(at-m.now, 0))
+		}
+	}
+}
+
+// tick reads the host clock, the module's only time.
+func (m *Module) tick() { m.now = clockStart + time.Since(m.epoch) }
+
+// post puts a turn into the mailbox; a sender waits while it is full, the module's actor never does.
+func (m *Module) post(turn func()) {
+	select {
+	case m.inbox <- turn:
+	case <-m.done:
+	}
+}
+
+// handle gives the decision module an event and carries out what it asks for. What that brings about at once
+// waits until the actions before it are done.
+func (m *Module) handle(ev decide.Event) {
+	m.events = append(m.events, ev)
+	if m.handling {
+		return
+	}
+	m.handling = true
+	var actions []decide.Action
+	for len(m.events) > 0 {
+		ev := m.events[0]
+		m.events = m.events[1:]
+		actions = m.balancer.Handle(m.now, ev, actions[:0])
+		for _, a := range actions {
+			m.act(a)
+		}
+	}
+	m.events, m.handling = nil, false
+}
+
+func (m *Module) act(a decide.Action) {
+	switch a := a.(type) {
+	case decide.Place:
+		m.place(a)
+	case decide.Refuse:
+		if c := m.calls[a.ID]; c != nil {
+			c.refuse(a.RetryAfter)
+		}
+	case decide.Fail:
+		if c := m.calls[a.ID]; c != nil {
+			c.fail()
+		}
+	case decide.Move:
+		if c := m.calls[a.ID]; c != nil {
+			c.move()
+		}
+	case decide.Probe:
+		m.probe(a.Server)
+	case decide.Subscribe:
+		m.subscribe()
+	case decide.FetchList:
+		m.fetchList()
+	case decide.SetTimer:
+		m.deadlines.set(m.now+a.Wait, func() { m.handle(decide.TimerFired{Token: a.Token}) })
+	case decide.Log:
+		m.cfg.Log(a.Text)
+	}
+}
+
+// ---- probes
+
+func (m *Module) probe(server decide.ServerID) {
+	s := m.subchannels[server]
+	if s == nil {
+		return
+	}
+	m.counters.Probes++
+	m.probeSeq++
+	seq := m.probeSeq
+	ctx, cancel := context.WithCancel(m.ctx)
+	p := &probe{server: server, sent: m.now, cancel: cancel}
+	p.due = m.deadlines.set(m.now+probeWait, func() { m.probed(seq, decide.TimedOut, decide.NoReport) })
+	m.probes[seq] = p
+	m.prober.Probe(ctx, seq, s.Subchannel)
+}
+
+// Probed tells the result of a probe.
+func (m *Module) Probed(seq uint64, code decide.Code, report decide.Report) {
+	m.post(func() { m.probed(seq, code, report) })
+}
+
+func (m *Module) probed(seq uint64, code decide.Code, report decide.Report) {
+	p := m.probes[seq]
+	if p == nil {
+		return // it has timed out
+	}
+	delete(m.probes, seq)
+	m.deadlines.drop(p.due)
+	p.cancel()
+	if s := m.subchannels[p.server]; s != nil && report.Load >= 0 {
+		s.load = report.Load
+	}
+	m.handle(decide.Probed{Server: p.server, Code: code, Took: m.now - p.sent, Report: report})
+}
+
+// ---- the list
+
+func (m *Module) subscribe() {
+	// A watch that is open stays until the new one answers, so that no change is missed.
+	ctx, cancel := context.WithCancel(m.ctx)
+	m.deadlines.drop(m.watchDue())
+	m.watch = &listCall{cancel: cancel}
+	m.watch.due = m.deadlines.set(m.now+listWait, cancel)
+	m.resolver.Subscribe(ctx)
+}
+
+func (m *Module) watchDue() *deadline {
+	if m.watch == nil {
+		return nil
+	}
+	return m.watch.due
+}
+
+func (m *Module) fetchList() {
+	if m.fetch != nil {
+		m.deadlines.drop(m.fetch.due)
+		m.fetch.cancel()
+	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	m.fetch = &listCall{cancel: cancel, due: m.deadlines.set(m.now+listWait, cancel)}
+	m.resolver.FetchList(ctx)
+}
+
+// ListAlive tells that the watch shows a sign of life.
+func (m *Module) ListAlive() {
+	m.post(func() {
+		if m.watch != nil {
+			m.deadlines.drop(m.watch.due)
+			m.watch.due = m.deadlines.set(m.now+watchWait, m.watch.cancel)
+		}
+	})
+}
+
+// Resolved brings a resolver result.
+func (m *Module) Resolved(r Result) { m.post(func() { m.resolved(r) }) }
+
+func (m *Module) resolved(r Result) {
+	if r.Kind == decide.ListFailed {
+		m.handle(decide.ListReceived{Kind: r.Kind})
+		return
+	}
+	if m.fetch != nil && r.Kind == decide.ListFull {
+		m.deadlines.drop(m.fetch.due)
+		m.fetch = nil
+	}
+	m.listAt = m.now
+	if r.Kind == decide.ListFull {
+		m.counters.Lists++
+		listed := map[decide.ServerID]bool{}
+		for _, in := range r.Instances {
+			listed[in.ID] = true
+		}
+		for id, s := range m.subchannels {
+			if !listed[id] {
+				m.setGone(s)
+			}
+		}
+	}
+	lines := make([]decide.Server, 0, len(r.Instances))
+	for _, in := range r.Instances {
+		s := m.subchannels[in.ID]
+		if s == nil {
+			s = &subchannel{load: -1}
+			m.subchannels[in.ID] = s
+		}
+		s.Subchannel = Subchannel{ID: in.ID, Instance: in.Name, Address: in.Address}
+		s.zone, s.state = in.Zone, in.State
+		if in.State == decide.Gone {
+			m.setGone(s)
+		}
+		line := in.Server
+		line.Started = m.hostClock(in.Started)
+		lines = append(lines, line)
+	}
+	m.handle(decide.ListReceived{Kind: r.Kind, Servers: lines})
+}
+
+func (m *Module) setGone(s *subchannel) {
+	s.state = decide.Gone
+	m.prober.Forget(s.ID)
+}
+
+// hostClock turns a wall time into host-clock time; 0 stays long ago.
+func (m *Module) hostClock(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return max(clockStart+t.Sub(m.epoch), 1)
+}
+
+// ---- placement
+
+func (m *Module) place(a decide.Place) {
+	c := m.calls[a.ID]
+	if c == nil {
+		return
+	}
+	s := m.subchannels[a.Server]
+	if s == nil {
+		c.n++
+		m.handle(decide.Ended{ID: a.ID, Attempt: c.n, Server: a.Server, Code: decide.Moot, Report: decide.NoReport})
+		return
+	}
+	c.attempt(s, a.Wait)
+}
+
+func (m *Module) newID() decide.RequestID {
+	m.lastID++
+	return decide.RequestID(strconv.FormatUint(m.lastID, 10))
+}
--- /dev/null
+++ b/internal/line/reply.go
@@ -0,0 +1,81 @@
+package line
+
+import (
+	"bufio"
+	"errors"
+	"strconv"
+	"strings"
+
+	"cottonplank/decide"
+)
+
+var errLong = errors.New("line is longer than 4 KiB")
+
+// readLine reads one line without its end. textproto's ReadLine has no bound; the reader's buffer, which
+// textproto.NewConn makes 4 KiB, is the bound here.
+func readLine(r *bufio.Reader) (string, error) {
+	raw, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return "", errLong
+	}
+	if err != nil {
+		return "", err
+	}
+	text, ok := strings.CutSuffix(string(raw), "\r\n")
+	if !ok {
+		return "", errors.New("line does not end with CRLF")
+	}
+	return text, nil
+}
+
+// reply is a room server's answer to a first line or a probe.
+type reply struct {
+	up     bool
+	code   decide.Code // where it is not up
+	report decide.Report
+}
+
+// parseReply reads the answer to a first line. Only a line that a room server makes for a connection that
+// stands counts as up; what is not known counts as an error, which may have run.
+func parseReply(line string) reply {
+	word, rest, _ := strings.Cut(line, " ")
+	switch word {
+	case "UP":
+		if rest != "" {
+			return reply{up: true, report: decide.NoReport}
+		}
+	case "BUSY":
+		return reply{code: decide.Full, report: parseReport(rest)}
+	case "MOVE":
+		return reply{code: decide.Cancelled, report: decide.NoReport}
+	}
+	return reply{code: decide.ServerError, report: parseReport(rest)}
+}
+
+// parseReport reads a load report, `inflight=7,x0=0.61`; absent and odd values count as not told.
+func parseReport(text string) decide.Report {
+	report := decide.NoReport
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0 && v < 1e9) {
+			continue
+		}
+		switch name {
+		case "x0":
+			report.Load = v
+		case "inflight":
+			report.Held = v
+		}
+	}
+	return report
+}
+
+// parseProbe reads the answer to PING or STATS.
+func parseProbe(line string) (decide.Code, decide.Report) {
+	word, rest, _ := strings.Cut(line, " ")
+	if word != "PONG" {
+		return decide.ServerError, parseReport(rest)
+	}
+	return decide.OK, parseReport(rest)
+}
--- /dev/null
+++ b/internal/line/subchannel.go
@@ -0,0 +1,129 @@
+package line
+
+import (
+	"context"
+	"net"
+	"net/textproto"
+	"sync"
+	"time"
+
+	"cottonplank/decide"
+	"cottonplank/internal/core"
+)
+
+// probeBacklog is how many probes may wait at one room server; more are lost and time out.
+const probeBacklog = 4
+
+// Prober keeps an actor for each room server that is probed. The module's actor alone calls it.
+type Prober struct {
+	ctx         context.Context
+	module      *core.Module
+	dialer      net.Dialer
+	subchannels map[decide.ServerID]*subchannel
+	actors      sync.WaitGroup
+}
+
+// NewProber returns a prober whose actors end with ctx.
+func NewProber(ctx context.Context, module *core.Module) *Prober {
+	return &Prober{ctx: ctx, module: module, dialer: net.Dialer{KeepAlive: -1},
+		subchannels: map[decide.ServerID]*subchannel{}}
+}
+
+// Wait waits until the actors have ended.
+func (p *Prober) Wait() { p.actors.Wait() }
+
+// Probe puts a probe into the mailbox of the room server's actor.
+func (p *Prober) Probe(ctx context.Context, seq uint64, server core.Subchannel) {
+	s := p.subchannels[server.ID]
+	if s == nil {
+		s = &subchannel{prober: p, probes: make(chan probeOrder, probeBacklog)}
+		p.subchannels[server.ID] = s
+		p.actors.Go(s.run)
+	}
+	select {
+	case s.probes <- probeOrder{ctx, seq, server}:
+	default:
+	}
+}
+
+// Forget ends the actor of a room server that is gone.
+func (p *Prober) Forget(server decide.ServerID) {
+	if s := p.subchannels[server]; s != nil {
+		close(s.probes)
+		delete(p.subchannels, server)
+	}
+}
+
+type probeOrder struct {
+	ctx    context.Context // ends when the core stops waiting
+	seq    uint64
+	server core.Subchannel
+}
+
+// subchannel is the actor of one room server's probes. It keeps one connection for them, as a new one costs
+// the room server a handshake.
+type subchannel struct {
+	prober  *Prober
+	probes  chan probeOrder
+	conn    net.Conn
+	text    *textproto.Conn
+	address string
+}
+
+func (s *subchannel) run() {
+	defer s.close()
+	for {
+		select {
+		case <-s.prober.ctx.Done():
+			return
+		case o, ok := <-s.probes:
+			if !ok {
+				return
+			}
+			code, report := s.probe(o)
+			s.prober.module.Probed(o.seq, code, report)
+		}
+	}
+}
+
+// probe asks once, and once more on a new connection where the kept one turns out to be closed.
+func (s *subchannel) probe(o probeOrder) (decide.Code, decide.Report) {
+	if s.conn != nil && s.address == o.server.Address {
+		if line, err := s.ask(o.ctx); err == nil {
+			return parseProbe(line)
+		}
+		s.close()
+		if o.ctx.Err() != nil {
+			return decide.TimedOut, decide.NoReport
+		}
+	}
+	s.close()
+	conn, err := s.prober.dialer.DialContext(o.ctx, "tcp", o.server.Address)
+	if err != nil {
+		return decide.ConnectFailed, decide.NoReport
+	}
+	s.conn, s.text, s.address = conn, textproto.NewConn(conn), o.server.Address
+	line, err := s.ask(o.ctx)
+	if err != nil {
+		s.close()
+		return decide.Reset, decide.NoReport
+	}
+	return parseProbe(line)
+}
+
+func (s *subchannel) ask(ctx context.Context) (string, error) {
+	conn := s.conn
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := s.text.PrintfLine("STATS"); err != nil {
+		return "", err
+	}
+	return readLine(s.text.R)
+}
+
+func (s *subchannel) close() {
+	if s.conn != nil {
+		s.conn.Close()
+		s.conn = nil
+	}
+}
