--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -15,6 +15,7 @@
 	"cottonplank/internal/config"
 	"cottonplank/internal/core"
 	"cottonplank/internal/line"
+	"cottonplank/internal/quic"
 	"cottonplank/internal/resolver"
 
 	"github.com/sirupsen/logrus"
@@ -38,7 +39,12 @@
 	}
 	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	flags.SetOutput(errs)
-	command, ok := map[string]func(io.Writer) error{"serve": serve, "check": check, "version": version}[args[0]]
+	fronts := ""
+	if args[0] == "serve" || args[0] == "check" {
+		flags.StringVar(&fronts, "fronts", "", "`file` that switches the QUIC front and the SNMP agent on")
+	}
+	command, ok := map[string]func(io.Writer, string) error{"serve": serve, "check": check,
+		"version": version}[args[0]]
 	if !ok {
 		fmt.Fprintf(errs, "cottonplank: unknown command %q\n%s", args[0], usage)
 		return 2
@@ -50,14 +56,14 @@
 		fmt.Fprintf(errs, "cottonplank %s: unexpected argument %q\n", args[0], flags.Arg(0))
 		return 2
 	}
-	if err := command(out); err != nil {
+	if err := command(out, fronts); err != nil {
 		fmt.Fprintf(errs, "cottonplank %s: %v\n", args[0], err)
 		return 1
 	}
 	return 0
 }
 
-func version(out io.Writer) error {
+func version(out io.Writer, _ string) error {
 	v := "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
 		v = info.Main.Version
@@ -66,18 +72,28 @@
 	return err
 }
 
-func check(out io.Writer) error {
+// load reads the configuration and the fronts file.
+func load(frontsFile string) (*config.Config, config.Fronts, error) {
 	cfg, err := config.Load()
+	if err != nil {
+		return nil, config.Fronts{}, err
+	}
+	fronts, err := config.LoadFronts(frontsFile, cfg.Settings.Classes)
+	return cfg, fronts, err
+}
+
+func check(out io.Writer, frontsFile string) error {
+	cfg, fronts, err := load(frontsFile)
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(out, "%s: %d classes, %d known room servers, %d requests may wait\n",
-		cfg.Name, len(cfg.Settings.Classes), len(cfg.Known), cfg.MaxChannels)
+	_, err = fmt.Fprintf(out, "%s: %d classes, %d known room servers, %d requests may wait, quic %q, snmp %q\n",
+		cfg.Name, len(cfg.Settings.Classes), len(cfg.Known), cfg.MaxChannels, fronts.QUIC.Listen, fronts.SNMP.Listen)
 	return err
 }
 
-func serve(io.Writer) error {
-	cfg, err := config.Load()
+func serve(_ io.Writer, frontsFile string) error {
+	cfg, fronts, err := load(frontsFile)
 	if err != nil {
 		return err
 	}
@@ -94,6 +110,13 @@
 		return err
 	}
 
+	var connectionIDs *quic.Front
+	if fronts.QUIC.Listen != "" {
+		if connectionIDs, err = quicFront(cfg, fronts.QUIC, module, log); err != nil {
+			return err
+		}
+	}
+
 	stop, unregister := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer unregister()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -106,6 +129,9 @@
 	running.Go(func() { list.Run(ctx) })
 	running.Go(func() { module.Run(ctx, prober, list); prober.Wait() })
 	running.Go(func() { front.Serve(ctx, listener) })
+	if connectionIDs != nil {
+		running.Go(func() { connectionIDs.Serve(ctx) })
+	}
 	log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen, "known": len(cfg.Known)}).Info("serving")
 
 	<-stop.Done()
@@ -119,6 +145,15 @@
 	return nil
 }
 
+func quicFront(cfg *config.Config, q config.QUIC, module *core.Module, log *logrus.Logger) (*quic.Front, error) {
+	ids, err := quic.NewIDFormat(q.ConfigID, q.NonceLen, q.IDKey)
+	if err != nil {
+		return nil, fmt.Errorf("quic front: %w", err)
+	}
+	return quic.New(quic.Config{Listen: q.Listen, IDs: ids, ResetKey: q.ResetKey, Class: q.Class,
+		Wait: cfg.Settings.Classes[q.Class].GiveUp, Idle: q.Idle, MaxFlows: q.MaxFlows}, module, log)
+}
+
 func names(cfg *config.Config) line.Names {
 	n := line.Names{Classes: map[string]int{}, Tenants: map[string]bool{}}
 	for i, c := range cfg.Settings.Classes {
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -22,6 +22,7 @@
 	ch Channel
 	id decide.RequestID
 
+	traits   Traits
 	phase    phase
 	req      Request
 	n        int // the latest attempt, -1 before the first
@@ -29,16 +30,30 @@
 	out      bool
 	server   *subchannel // of the latest attempt
 	sent     time.Duration
-	reopen   string // the instance at which it was open before the start
+	reopen   decide.ServerID // where it was open before the start
+	reopened bool
 	patience time.Duration
 	moved    bool
 
 	connect, wait, silence, end *deadline
 }
 
+// Traits are how a front's channels differ.
+type Traits struct {
+	// Linger is how long a channel may stay after its end, for the client to take the answer.
+	Linger time.Duration
+	// Idle ends a standing connection that shows no traffic for so long, where an end cannot be seen; 0: never.
+	Idle time.Duration
+	// Resumable connections outlive this process: a planned stop leaves them to the one that starts next.
+	Resumable bool
+}
+
 // Accept tells that a channel is open; its first line is awaited.
-func (m *Module) Accept(ch Channel) *Call {
-	c := &Call{m: m, ch: ch, n: -1}
+func (m *Module) Accept(ch Channel, t Traits) *Call {
+	c := &Call{m: m, ch: ch, traits: t, n: -1}
+	if c.traits.Linger == 0 {
+		c.traits.Linger = lingerWait
+	}
 	m.post(func() {
 		m.open[c] = struct{}{}
 		c.end = m.deadlines.set(m.now+firstLineWait, ch.Drop)
@@ -57,14 +72,14 @@
 	})
 }
 
-// Reopen tells of a connection that was open at an instance before the start. It is opened there and nowhere
+// Reopen tells of a connection that was open at a room server before the start. It is opened there and nowhere
 // else, within patience; a server that is not listed is waited for as long.
-func (m *Module) Reopen(c *Call, r Request, instance string, patience time.Duration) {
+func (m *Module) Reopen(c *Call, r Request, server decide.ServerID, patience time.Duration) {
 	m.post(func() {
 		if c.phase != accepted {
 			return
 		}
-		c.req, c.reopen, c.phase = r, instance, pending
+		c.req, c.reopen, c.reopened, c.phase = r, server, true, pending
 		c.patience = m.now + patience
 		m.deadlines.drop(c.end)
 		m.waiting++
@@ -99,23 +114,19 @@
 	if c.phase != pending {
 		return
 	}
-	if c.m.now >= c.patience {
-		c.fail()
-		return
-	}
-	s := c.m.subchannels[ServerID(c.reopen)]
+	s := c.m.subchannels[c.reopen]
 	if s == nil || s.state == decide.Gone {
-		if c.m.now+reopenPause > c.patience {
-			c.fail()
-			return
-		}
 		c.retryReopen()
 		return
 	}
-	c.attempt(s, c.patience-c.m.now)
+	c.attempt(s, max(c.patience-c.m.now, reopenPause))
 }
 
 func (c *Call) retryReopen() {
+	if c.m.now >= c.patience {
+		c.fail()
+		return
+	}
 	c.end = c.m.deadlines.set(min(c.m.now+reopenPause, c.patience), c.tryReopen)
 }
 
@@ -161,19 +172,21 @@
 		c.stopClocks()
 		c.phase = standing
 		m.waiting--
-		m.counters.Served++
 		c.server.open++
+		c.touched()
 		c.ch.Stand(n)
-		if c.reopen != "" {
+		if c.reopened {
+			m.counters.Reopened++
 			c.id, c.first = m.newID(), n
 			m.calls[c.id] = c
 			m.handle(decide.Opened{Request: decide.Requested{ID: c.id, Class: c.req.Class, Key: c.req.Key,
 				Group: c.req.Group, Load: c.req.Load, Returning: c.req.Returning}, Server: c.server.ID})
 		} else {
+			m.counters.Served++
 			m.handle(decide.Established{ID: c.id, Attempt: n, Server: c.server.ID, Took: m.now - c.sent})
 		}
 		if m.drain != nil && m.drain.moving {
-			c.move()
+			c.sendAway()
 		}
 	})
 }
@@ -195,7 +208,7 @@
 		c.server.open--
 		c.phase = answered
 	}
-	if c.reopen != "" && !final {
+	if c.reopened && !final {
 		c.retryReopen()
 		return
 	}
@@ -223,7 +236,7 @@
 	m := c.m
 	c.phase = answered
 	m.waiting--
-	c.end = m.deadlines.set(m.now+lingerWait, c.ch.Drop)
+	c.end = m.deadlines.set(m.now+c.traits.Linger, c.ch.Drop)
 	return true
 }
 
@@ -279,7 +292,7 @@
 	c.m.deadlines.drop(c.silence)
 	c.ch.Move()
 	// Guards against a client that reads nothing any more: the move must not wait for it.
-	c.end = c.m.deadlines.set(c.m.now+moveWait, c.ch.Drop)
+	c.end = c.m.deadlines.set(c.m.now+max(moveWait, c.traits.Linger), c.ch.Drop)
 }
 
 // Awaiting tells that a standing connection's client sent something that the server has not answered yet.
@@ -310,11 +323,30 @@
 	}
 }
 
+// Touch tells that a standing connection shows traffic; a front says so now and then, not for each packet.
+func (m *Module) Touch(c *Call) {
+	m.post(func() {
+		if c.phase == standing {
+			c.touched()
+		}
+	})
+}
+
+func (c *Call) touched() {
+	if c.traits.Idle > 0 && !c.moved {
+		c.m.deadlines.drop(c.end)
+		c.end = c.m.deadlines.set(c.m.now+c.traits.Idle, func() {
+			c.ch.Drop()
+			c.ended(c.n, decide.OK, decide.NoReport) // its end, unseen, is the likely cause
+		})
+	}
+}
+
 // Lingering tells that one side of a standing connection has ended; the other gets a while to follow.
 func (m *Module) Lingering(c *Call) {
 	m.post(func() {
 		m.deadlines.drop(c.end)
-		c.end = m.deadlines.set(m.now+lingerWait, c.ch.Drop)
+		c.end = m.deadlines.set(m.now+c.traits.Linger, c.ch.Drop)
 	})
 }
 
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -29,7 +29,7 @@
 		m.deadlines.set(m.now+drainGrace, func() {
 			m.drain.moving = true
 			for c := range m.open {
-				c.move()
+				c.sendAway()
 			}
 		})
 		m.deadlines.set(m.now+drainLeast, func() {
@@ -47,6 +47,14 @@
 	return done
 }
 
+// sendAway ends this process's part in a standing connection. One that the next process can go on with is
+// served until the end.
+func (c *Call) sendAway() {
+	if !c.traits.Resumable {
+		c.move()
+	}
+}
+
 func (m *Module) drainEnds() bool { return m.drain != nil && m.drain.ending }
 
 // drained ends the drain early once no request waits and nothing stands.
@@ -55,7 +63,7 @@
 		return
 	}
 	for c := range m.open {
-		if c.phase != accepted {
+		if c.phase == pending || c.phase != accepted && !c.traits.Resumable {
 			return
 		}
 	}
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -11,7 +11,8 @@
 // Counters count since the start.
 type Counters struct {
 	Served, Refused, Failed uint64 // final answers
-	Left                    uint64 // clients that left before theirs
+	Reopened                uint64 // connections that were open before the start and stand again
+	Left                    uint64 // clients that left before their answer
 	Attempts, Moves, Probes uint64
 	Silent                  uint64 // standing connections whose server went silent
 	Lists                   uint64 // whole lists received
--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -200,7 +200,7 @@
 	r := core.Request{Class: first.class, Key: first.key, Group: first.group,
 		Deadline: at.Add(first.wait), Load: first.load, Returning: first.returning}
 	if first.at != "" {
-		c.front.module.Reopen(c.call, r, first.at, reopenWithin)
+		c.front.module.Reopen(c.call, r, core.ServerID(first.at), reopenWithin)
 		return
 	}
 	c.front.module.Request(c.call, r)
--- a/internal/line/front.go
+++ b/internal/line/front.go
@@ -76,6 +76,6 @@
 		orders: make(chan order, mailboxSize), news: make(chan any), done: make(chan struct{}),
 		relay: make(chan *upstream, 1),
 	}
-	c.call = f.module.Accept(c)
+	c.call = f.module.Accept(c, core.Traits{})
 	f.actors.Go(func() { c.run(ctx) })
 }
