Test the fronts, the core, the resolver and the configuration; mend three faults found

The QUIC front's Serve could hang at the end: context.AfterFunc's stop ran before its call, so the socket stayed open (front.go, Serve).

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"cottonplank/decide"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.4:9000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1100},
+"known":{"generation":41,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"127.1.0.18:9000","zone":"a",
+"lifecycle":"active","weight":1.0,"startedAtMs":0}]},
+"settings":{"zone":"a","areas":["a","b"],"balancers":3,"membership_mode":"subscribe",
+"profiles":[{"name":"solo-play","aim_s":0.3,"give_up_s":1.2,"repeat":"idempotent","key_scope":"all","window_s":5}],
+"tenants":[{"name":"familles"}],
+"limits":{"connect_timeout_s":0.06,"max_retry_after_s":1.5,"retry_after":true,"may_probe":true,"most_tries":3},
+"rules":{"drain_grace_s":0.5,"cold_share":0.37,"cold_s":7.7,"fall_multiple":4,"fall_s":1,"must_ask_in_s":10},
+"penalties":{"probe":0.0018,"moves":0.019,"cross_zone":0.16},
+"specifics":{"groups":true,"message_aim_s":[0.06]},"unheard_of":{"x":1}}}`
+
+func noEnv(string) string { return "" }
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good), noEnv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	class := c.Settings.Classes[0]
+	if c.Name != "n3" || len(c.Known) != 1 || c.Generation != 41 || c.MemoryMB != 192 ||
+		c.Settings.Seed != 0x8c1f30d27a5be964 || !c.Settings.Subscribe || !c.Settings.Groups ||
+		class.Aim != 300*time.Millisecond || class.MessageAim != 60*time.Millisecond || class.Repeat != decide.Safe ||
+		c.Settings.ConnectTimeout != 60*time.Millisecond || c.Settings.MaxRetryAfter != 1500*time.Millisecond {
+		t.Errorf("%+v", c)
+	}
+	if c.StopBudget != 1600*time.Millisecond { // 1.2 s and 0.7 s until SIGKILL, less the spare
+		t.Errorf("stop budget %v", c.StopBudget)
+	}
+	c, err = Parse([]byte(good), func(key string) string { return map[string]string{"PROXY_NAME": "n9"}[key] })
+	if err != nil || c.Name != "n9" {
+		t.Errorf("PROXY_NAME is not taken: %v", err)
+	}
+}
+
+// Errors name the faulty key and its value.
+func TestFaultyKeysAreNamed(t *testing.T) {
+	for _, v := range []struct{ old, new, want string }{
+		{`"n3"`, `""`, "name"},
+		{`127.0.0.4:9000`, `here`, `listen: "here"`},
+		{`127.2.0.1:8500`, ``, "discovery"},
+		{`8c1f30d27a5be964`, `xyz`, `seed: "xyz"`},
+		{`"sockets":1100`, `"sockets":10`, "limits.sockets: 10"},
+		{`"cores":1.0`, `"cores":"one"`, "limits.cores"},
+		{`"active"`, `"asleep"`, `known: list: instances[0]: lifecycle: unknown value "asleep"`},
+		{`"zone":"a","areas"`, `"zone":"z","areas"`, `settings.zone: "z"`},
+		{`"subscribe"`, `"guess"`, `settings.membership_mode: "guess"`},
+		{`"aim_s":0.3`, `"aim_s":0`, "settings.profiles[0].aim_s: 0"},
+		{`"idempotent"`, `"maybe"`, `settings.profiles[0].repeat: unknown value "maybe"`},
+		{`"fall_s":1`, `"fall_s":"x"`, "settings.rules.fall_s"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, v.old, v.new, 1)), noEnv)
+		if err == nil || !strings.Contains(err.Error(), v.want) {
+			t.Errorf("%s for %s: %v, want it to name %s", v.new, v.old, err, v.want)
+		}
+	}
+}
+
+const goodFronts = `{"quic":{"listen":"127.0.0.1:4433","class":"solo-play","config_id":0,"nonce_length":8,
+"id_key":"8f95f09245765f80256934e50c66207f","reset_key":"000102030405060708090a0b0c0d0e0f"},
+"snmp":{"listen":"127.0.0.1:1161","community":"x"}}`
+
+func TestFronts(t *testing.T) {
+	classes := []decide.Class{{Name: "solo-play"}}
+	f, err := ParseFronts([]byte(goodFronts), classes)
+	if err != nil || f.QUIC.Idle != 30*time.Second || f.QUIC.MaxFlows != defaultMaxFlows || f.SNMP.Community != "x" {
+		t.Fatalf("%+v, %v", f, err)
+	}
+	if f, err := ParseFronts([]byte(`{}`), classes); err != nil || f.QUIC.Listen != "" || f.SNMP.Listen != "" {
+		t.Errorf("nothing switched on gives %+v, %v", f, err)
+	}
+	for _, v := range []struct{ old, new, want string }{
+		{`127.0.0.1:4433`, `x`, `quic.listen: "x"`}, {`solo-play`, `none`, `quic.class: "none"`},
+		{`"config_id":0`, `"config_id":7`, "quic.config_id: 7"}, {`"nonce_length":8`, `"nonce_length":3`, "quic.nonce_length: 3"},
+		{`8f95`, `8f`, "quic.id_key"}, {`000102`, ``, "quic.reset_key"}, {`127.0.0.1:1161`, `x`, `snmp.listen: "x"`},
+		{`"community":"x"`, `"community":""`, "snmp.community"}, {`"nonce_length":8`, `"idle_s":-1`, "quic.idle_s: -1"},
+	} {
+		_, err := ParseFronts([]byte(strings.Replace(goodFronts, v.old, v.new, 1)), classes)
+		if err == nil || !strings.Contains(err.Error(), v.want) {
+			t.Errorf("%s for %s: %v, want it to name %s", v.new, v.old, err, v.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,264 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"go/build"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cottonplank/decide"
+)
+
+// The core knows no wire: neither it nor what it imports of this project imports net.
+func TestImportsNoWire(t *testing.T) {
+	for _, dir := range []string{".", "../../decide"} {
+		pkg, err := build.ImportDir(dir, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range pkg.Imports {
+			if name == "net" || strings.HasPrefix(name, "net/") || strings.HasPrefix(name, "cottonplank/internal/") {
+				t.Errorf("%s imports %s", dir, name)
+			}
+		}
+	}
+}
+
+func TestDeadlinesFallDueInOrder(t *testing.T) {
+	d := newDeadlines()
+	var got []string
+	add := func(at time.Duration, name string) *deadline {
+		return d.set(at, func() { got = append(got, name) })
+	}
+	add(3, "c")
+	add(1, "a")
+	dropped := add(2, "x")
+	add(1, "b")
+	d.set(2, func() { add(2, "next turn") })
+	d.drop(dropped)
+	d.drop(nil)
+	d.sweep(2)
+	if !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("first sweep ran %q", got)
+	}
+	d.sweep(2)
+	d.sweep(3)
+	if !slices.Equal(got, []string{"a", "b", "next turn", "c"}) {
+		t.Errorf("sweeps ran %q", got)
+	}
+	if _, ok := d.next(); ok {
+		t.Error("a deadline is left")
+	}
+}
+
+// fakeChannel writes down the core's orders.
+type fakeChannel struct {
+	mu  sync.Mutex
+	got []string
+}
+
+func (f *fakeChannel) add(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.got = append(f.got, fmt.Sprintf(format, args...))
+}
+
+func (f *fakeChannel) Attempt(a CallAttempt) { f.add("attempt %d %s", a.N, a.Server.Instance) }
+func (f *fakeChannel) GiveUp(n int)          { f.add("give up %d", n) }
+func (f *fakeChannel) Stand(n int)           { f.add("stand %d", n) }
+func (f *fakeChannel) Fail()                 { f.add("fail") }
+func (f *fakeChannel) Move()                 { f.add("move") }
+func (f *fakeChannel) Drop()                 { f.add("drop") }
+func (f *fakeChannel) Unavailable(d time.Duration) {
+	f.add("unavailable")
+}
+
+func (f *fakeChannel) orders() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return strings.Join(f.got, ", ")
+}
+
+// wait waits until the orders begin with some, which they must.
+func (f *fakeChannel) wait(t *testing.T, want string) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if strings.HasPrefix(f.orders(), want) {
+			return
+		}
+	}
+	t.Fatalf("orders are %q, want %q first", f.orders(), want)
+}
+
+type fakeServers struct{ mu sync.Mutex }
+
+func (*fakeServers) Probe(context.Context, uint64, Subchannel) {}
+func (*fakeServers) Forget(decide.ServerID)                    {}
+func (*fakeServers) Subscribe(context.Context)                 {}
+func (*fakeServers) FetchList(context.Context)                 {}
+
+func instance(name string) Instance {
+	return Instance{Name: name, Address: "x", Server: decide.Server{ID: ServerID(name), Zone: "a"}}
+}
+
+func run(t *testing.T, maxChannels int, known ...Instance) *Module {
+	t.Helper()
+	m, err := New(Config{Known: known, MaxChannels: maxChannels, Log: func(string) {}, Settings: decide.Settings{
+		Seed: 3, Zone: "a", MaxTries: 3, ConnectTimeout: 60 * time.Millisecond,
+		Classes: []decide.Class{{Name: "c", Aim: 300 * time.Millisecond, GiveUp: time.Second}},
+		Rules:   decide.Rules{DrainGrace: 500 * time.Millisecond, ColdShare: 0.3, FallMultiple: 4}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { m.Run(ctx, &fakeServers{}, &fakeServers{}) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return m
+}
+
+func (m *Module) ask(ch Channel, within time.Duration) *Call {
+	c := m.Accept(ch, Traits{})
+	m.Request(c, Request{Deadline: time.Now().Add(within)})
+	return c
+}
+
+// settled waits for a published snapshot that is newer than what happened before.
+func settled(m *Module) *Snapshot {
+	for since := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		if s := m.Snapshot(); s.At.After(since) {
+			return s
+		}
+	}
+}
+
+// An attempt without answer is given up before the next one begins, and what it brings later is nothing.
+func TestAttemptsNeverOverlap(t *testing.T) {
+	t.Parallel()
+	m := run(t, 10, instance("s-1"), instance("s-2"))
+	ch := &fakeChannel{}
+	c := m.ask(ch, 3*time.Second)
+	ch.wait(t, "attempt 0")
+	first := ch.orders()
+	ch.wait(t, first+", give up 0, attempt 1") // the connect timeout
+	m.Up(c, 0)
+	m.Ended(c, 0, decide.Reset, decide.NoReport)
+	m.Connected(c, 1)
+	m.Up(c, 1)
+	m.Up(c, 1)
+	m.Closed(c)
+	if s := settled(m); s.Served != 1 || s.Refused+s.Failed+s.Left > 0 || s.Attempts != 2 || s.Open > 0 {
+		t.Errorf("%+v", s)
+	}
+	if got := ch.orders(); !strings.HasSuffix(got, "attempt 1 s-1, stand 1") && !strings.HasSuffix(got, "attempt 1 s-2, stand 1") {
+		t.Errorf("orders are %q", got)
+	}
+}
+
+// There is one final answer, whatever comes together.
+func TestOneFinalAnswer(t *testing.T) {
+	t.Parallel()
+	m := run(t, 10, instance("s-1"))
+	ch := &fakeChannel{}
+	c := m.ask(ch, 400*time.Millisecond)
+	ch.wait(t, "attempt 0 s-1")
+	m.Connected(c, 0)
+	ch.wait(t, "attempt 0 s-1, give up 0, unavailable")
+	m.Up(c, 0)
+	m.Malformed(c)
+	m.Request(c, Request{Deadline: time.Now().Add(time.Second)})
+	m.Closed(c)
+	if s := settled(m); s.Refused != 1 || s.Served+s.Failed+s.Left > 0 {
+		t.Errorf("%+v, orders %q", s.Counters, ch.orders())
+	}
+	if n := strings.Count(ch.orders(), "unavailable"); n != 1 {
+		t.Errorf("%d answers in %q", n, ch.orders())
+	}
+}
+
+func TestPastTheBoundUnavailable(t *testing.T) {
+	t.Parallel()
+	m := run(t, 1) // no servers: requests wait
+	first, second := &fakeChannel{}, &fakeChannel{}
+	m.ask(first, 5*time.Second)
+	m.ask(second, 5*time.Second)
+	second.wait(t, "unavailable")
+	if got := first.orders(); got != "" {
+		t.Errorf("the first one got %q", got)
+	}
+}
+
+// A connection that was open before waits for its server to be listed, tries again when it does not stand,
+// and ends as attempt 0 for the decision module.
+func TestReopen(t *testing.T) {
+	t.Parallel()
+	m := run(t, 10)
+	ch := &fakeChannel{}
+	c := m.Accept(ch, Traits{})
+	m.Reopen(c, Request{}, ServerID("s-1"), 10*time.Second)
+	m.Resolved(Result{Kind: decide.ListFull, Instances: []Instance{instance("s-1"), instance("s-2")}})
+	ch.wait(t, "attempt 0 s-1")
+	m.Ended(c, 0, decide.ConnectFailed, decide.NoReport)
+	ch.wait(t, "attempt 0 s-1, attempt 1 s-1")
+	m.Up(c, 1)
+	ch.wait(t, "attempt 0 s-1, attempt 1 s-1, stand 1")
+	m.Ended(c, 1, decide.OK, decide.NoReport)
+	m.Closed(c)
+	if s := settled(m); s.Reopened != 1 || s.Served > 0 || s.Open > 0 || s.Subchannels[0].Open+s.Subchannels[1].Open > 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestReopenWithoutPatience(t *testing.T) {
+	t.Parallel()
+	m := run(t, 10)
+	ch := &fakeChannel{}
+	m.Reopen(m.Accept(ch, Traits{}), Request{}, ServerID("s-gone"), 0)
+	ch.wait(t, "fail")
+}
+
+// A standing connection whose server says nothing is moved, and the module hears that it broke.
+func TestSilence(t *testing.T) {
+	t.Parallel()
+	m := run(t, 10, instance("s-1"))
+	silent, sound := &fakeChannel{}, &fakeChannel{}
+	a, b := m.ask(silent, time.Second), m.ask(sound, time.Second)
+	for i, c := range []*Call{a, b} {
+		[]*fakeChannel{silent, sound}[i].wait(t, "attempt 0 s-1")
+		m.Up(c, 0)
+		m.Awaiting(c)
+	}
+	m.Answered(b)
+	silent.wait(t, "attempt 0 s-1, stand 0, move")
+	if s := settled(m); s.Silent != 1 || s.Moves != 1 {
+		t.Errorf("%+v", s.Counters)
+	}
+	if got := sound.orders(); got != "attempt 0 s-1, stand 0" {
+		t.Errorf("the sound one got %q", got)
+	}
+}
+
+// Draining leaves what the next process can go on with.
+func TestDrainLeavesTheResumable(t *testing.T) {
+	t.Parallel()
+	m := run(t, 10, instance("s-1"))
+	stays, goes := &fakeChannel{}, &fakeChannel{}
+	a, b := m.Accept(stays, Traits{Resumable: true}), m.ask(goes, time.Second)
+	m.Request(a, Request{Deadline: time.Now().Add(time.Second)})
+	goes.wait(t, "attempt 0")
+	stays.wait(t, "attempt 0")
+	m.Up(a, 0)
+	m.Up(b, 0)
+	over := m.Drain(3 * time.Second)
+	goes.wait(t, "attempt 0 s-1, stand 0, move")
+	m.Ended(b, 0, decide.Cancelled, decide.NoReport)
+	m.Closed(b)
+	<-over
+	if got := stays.orders(); got != "attempt 0 s-1, stand 0" {
+		t.Errorf("the resumable one got %q", got)
+	}
+}
--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -261,7 +261,7 @@
 	if n.up != c.up {
 		return
 	}
-	if errors.Is(n.err, errLong) {
+	if errors.Is(n.err, errLong) || errors.Is(n.err, errBare) {
 		c.endAttempt(decide.ServerError, decide.NoReport)
 		return
 	}
@@ -327,9 +327,10 @@
 func (c *channel) readClient() {
 	for {
 		line, err := readLine(c.text.R)
-		if errors.Is(err, errLong) || err == nil && line != "PING" {
-			c.tell(newsFirst{line, time.Now()})
-			if err != nil {
+		malformed := errors.Is(err, errLong) || errors.Is(err, errBare)
+		if malformed || err == nil && line != "PING" {
+			c.tell(newsFirst{line, time.Now()}) // a malformed one is empty here, and answered as failed
+			if malformed {
 				io.Copy(io.Discard, c.client) // the rest of it, until the core drops the channel
 				c.tell(newsClientEnd{io.EOF})
 				return
--- /dev/null
+++ b/internal/line/line_test.go
@@ -0,0 +1,399 @@
+package line
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cottonplank/decide"
+	"cottonplank/internal/core"
+
+	"github.com/sirupsen/logrus"
+)
+
+// answerer is a stand-in room server: it treats each connection that brings a first line.
+type answerer struct {
+	name string
+	l    net.Listener
+	mu   sync.Mutex
+	got  []string // first lines
+	out  int      // connections that are open
+	most int
+}
+
+func newServer(t *testing.T, name string, treat func(conn net.Conn, r *bufio.Reader)) *answerer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &answerer{name: name, l: l}
+	var all sync.WaitGroup
+	all.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			all.Go(func() { a.serve(conn, treat) })
+		}
+	})
+	t.Cleanup(func() { l.Close(); all.Wait() })
+	return a
+}
+
+func (a *answerer) serve(conn net.Conn, treat func(net.Conn, *bufio.Reader)) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	line, err := r.ReadString('\n')
+	if err != nil {
+		return
+	}
+	a.mu.Lock()
+	a.got = append(a.got, line)
+	a.out++
+	a.most = max(a.most, a.out)
+	a.mu.Unlock()
+	treat(conn, r)
+	a.mu.Lock()
+	a.out--
+	a.mu.Unlock()
+}
+
+func (a *answerer) lines() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]string(nil), a.got...)
+}
+
+func (a *answerer) instance() core.Instance {
+	return core.Instance{Name: a.name, Address: a.l.Addr().String(), Server: decide.Server{
+		ID: core.ServerID(a.name), Zone: "a"}}
+}
+
+// echo lets a connection stand and answers each line.
+func echo(conn net.Conn, r *bufio.Reader) {
+	io.WriteString(conn, "UP receipt-1\r\n")
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		io.WriteString(conn, "re "+line)
+	}
+}
+
+func say(text string) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, _ *bufio.Reader) { io.WriteString(conn, text) }
+}
+
+func hang(conn net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) }
+
+type noList struct{}
+
+func (noList) Subscribe(context.Context) {}
+func (noList) FetchList(context.Context) {}
+
+type noProbes struct{}
+
+func (noProbes) Probe(context.Context, uint64, core.Subchannel) {}
+func (noProbes) Forget(decide.ServerID)                         {}
+
+type balancer struct {
+	module *core.Module
+	addr   string
+	stop   func()
+}
+
+func newBalancer(t *testing.T, servers ...*answerer) *balancer {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	known := []core.Instance{}
+	for _, s := range servers {
+		known = append(known, s.instance())
+	}
+	module, err := core.New(core.Config{Known: known, MaxChannels: 100, Log: func(string) {}, Settings: decide.Settings{
+		Seed: 5, Zone: "a", MaxTries: 3, MaxRetryAfter: 1500 * time.Millisecond,
+		Classes: []decide.Class{{Name: "solo-play", Aim: 300 * time.Millisecond, GiveUp: 2 * time.Second}},
+		Rules:   decide.Rules{DrainGrace: 500 * time.Millisecond, ColdShare: 0.3, Cold: time.Second, FallMultiple: 4, Fall: time.Second}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := New(module, testNames, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { module.Run(ctx, noProbes{}, noList{}) })
+	running.Go(func() { front.Serve(ctx, l) })
+	b := &balancer{module: module, addr: l.Addr().String()}
+	b.stop = sync.OnceFunc(func() { cancel(); running.Wait() })
+	t.Cleanup(b.stop)
+	return b
+}
+
+var testNames = Names{Classes: map[string]int{"solo-play": 0}, Tenants: map[string]bool{"familles": true}}
+
+// client is a stand-in client.
+type client struct {
+	t    *testing.T
+	conn *net.TCPConn
+	r    *bufio.Reader
+}
+
+func (b *balancer) client(t *testing.T) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", b.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(20 * time.Second)) // so that no test hangs
+	return &client{t, conn.(*net.TCPConn), bufio.NewReader(conn)}
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *client) want(text string) {
+	c.t.Helper()
+	line, err := c.r.ReadString('\n')
+	if err != nil || line != text {
+		c.t.Fatalf("read %q, %v, want %q", line, err, text)
+	}
+}
+
+func (c *client) wantEnd() {
+	c.t.Helper()
+	if line, err := c.r.ReadString('\n'); !errors.Is(err, io.EOF) || line != "" {
+		c.t.Fatalf("read %q, %v, want the end", line, err)
+	}
+}
+
+const open = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=solo-play,t=familles,d=2000,g=5c0f6e1a\r\n"
+
+func TestServedAndRelayedUnchanged(t *testing.T) {
+	t.Parallel()
+	s := newServer(t, "s-1", echo)
+	c := newBalancer(t, s).client(t)
+	c.send("PING\r\n")
+	c.want("PONG\r\n")
+	c.send(open)
+	c.want("UP receipt-1\r\n")
+	c.send("hello\r\nbare\n")
+	c.want("re hello\r\n")
+	c.want("re bare\n")
+	got := s.lines()[0]
+	head, tail, _ := strings.Cut(open, "d=2000")
+	if !strings.HasPrefix(got, head+"d=") || !strings.HasSuffix(got, tail) || got == open {
+		t.Errorf("forwarded %q", got)
+	}
+}
+
+// Bad first lines are answered as failed and never reach a room server; they harm only their peer.
+func TestMalformedFirstLines(t *testing.T) {
+	t.Parallel()
+	s := newServer(t, "s-1", echo)
+	b := newBalancer(t, s)
+	for _, text := range []string{"\r\n", "HELLO\r\n", strings.Replace(open, "solo-play", "no-class", 1),
+		strings.Replace(open, "familles", "nobody", 1), strings.Replace(open, "d=2000", "d=-1", 1),
+		strings.Replace(open, ",d=2000", "", 1), strings.Replace(open, "\r\n", "\n", 1),
+		strings.Repeat("x", 3*maxLine) + "\r\n", "OPEN \x00 k c=solo-play,d=9\r\n"} {
+		c := b.client(t)
+		c.send(text)
+		c.want("ERR\r\n")
+	}
+	half := b.client(t)
+	half.send("OPEN 9b1f")
+	half.conn.Close()
+	c := b.client(t)
+	c.send(open)
+	c.want("UP receipt-1\r\n")
+	if n := len(s.lines()); n != 1 {
+		t.Errorf("%d lines reached the room server, want the good one", n)
+	}
+}
+
+// Attempts go on to another server after each bad answer, and never overlap.
+func TestNextAttempt(t *testing.T) {
+	t.Parallel()
+	for name, treat := range map[string]func(net.Conn, *bufio.Reader){
+		"busy": say("BUSY inflight=7\r\n"), "error": say("ERR\r\n"), "breaks": say(""), "half a line": say("UP rec"),
+		"hangs": hang, "unknown answer": say("WHAT\r\n"), "too long": say(strings.Repeat("x", 2*maxLine)),
+		"up without receipt": say("UP\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			bad, good := newServer(t, "s-1", treat), newServer(t, "s-2", echo)
+			b := newBalancer(t, bad, good)
+			for range 3 {
+				c := b.client(t)
+				c.send(open)
+				c.want("UP receipt-1\r\n")
+			}
+			if n := len(bad.lines()); n == 0 {
+				t.Error("the bad server was never tried")
+			}
+		})
+	}
+}
+
+// A request that no server takes is refused at once, not near its deadline.
+func TestRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	s1, s2 := newServer(t, "s-1", say("BUSY\r\n")), newServer(t, "s-2", say("BUSY\r\n"))
+	b := newBalancer(t, s1, s2)
+	c := b.client(t)
+	c.send(strings.Replace(open, "d=2000", "d=1900", 1))
+	line, err := c.r.ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "BUSY") {
+		t.Fatalf("read %q, %v", line, err)
+	}
+	c.wantEnd()
+}
+
+func TestReopenedAtItsServerOnly(t *testing.T) {
+	t.Parallel()
+	s1, s2 := newServer(t, "s-1", echo), newServer(t, "s-2", echo)
+	b := newBalancer(t, s1, s2)
+	for i := range 4 {
+		c := b.client(t)
+		c.send(strings.Replace(open, "\r\n", ",at=s-2\r\n", 1))
+		c.want("UP receipt-1\r\n")
+		c.send(fmt.Sprintf("%d\r\n", i))
+		c.want(fmt.Sprintf("re %d\r\n", i))
+	}
+	if n := len(s1.lines()); n > 0 {
+		t.Errorf("%d lines went to the other server", n)
+	}
+}
+
+// The end of one side passes on alike: FIN as FIN, RST as RST.
+func TestEndsPassOn(t *testing.T) {
+	t.Parallel()
+	t.Run("server's FIN", func(t *testing.T) {
+		t.Parallel()
+		c := newBalancer(t, newServer(t, "s-1", say("UP r\r\nLOAD 5000\r\nBYE\r\n"))).client(t)
+		c.send(open)
+		c.want("UP r\r\n")
+		c.want("LOAD 5000\r\n")
+		c.want("BYE\r\n")
+		c.wantEnd()
+	})
+	t.Run("server's RST", func(t *testing.T) {
+		t.Parallel()
+		c := newBalancer(t, newServer(t, "s-1", func(conn net.Conn, r *bufio.Reader) {
+			io.WriteString(conn, "UP r\r\n")
+			r.ReadString('\n')
+			conn.(*net.TCPConn).SetLinger(0)
+		})).client(t)
+		c.send(open)
+		c.want("UP r\r\n")
+		c.send("x\r\n")
+		if _, err := c.r.ReadString('\n'); err == nil || errors.Is(err, io.EOF) {
+			t.Errorf("read ended with %v, want a reset", err)
+		}
+	})
+	for name, reset := range map[string]bool{"client's FIN": false, "client's RST": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ends := make(chan error, 1)
+			c := newBalancer(t, newServer(t, "s-1", func(conn net.Conn, r *bufio.Reader) {
+				io.WriteString(conn, "UP r\r\n")
+				_, err := io.Copy(io.Discard, r)
+				ends <- err
+			})).client(t)
+			c.send(open)
+			c.want("UP r\r\n")
+			if reset {
+				c.conn.SetLinger(0)
+			}
+			c.conn.Close()
+			if err := <-ends; (err != nil) != reset {
+				t.Errorf("the server read until %v", err)
+			}
+		})
+	}
+}
+
+// A server that goes silent under a standing connection: its client is moved well within 7 s.
+func TestSilentServer(t *testing.T) {
+	t.Parallel()
+	b := newBalancer(t, newServer(t, "s-1", func(conn net.Conn, r *bufio.Reader) {
+		io.WriteString(conn, "UP r\r\n")
+		io.Copy(io.Discard, r)
+	}))
+	c := b.client(t)
+	c.send(open)
+	c.want("UP r\r\n")
+	start := time.Now()
+	c.send("anyone?\r\n")
+	c.want("MOVE\r\n")
+	c.wantEnd()
+	if d := time.Since(start); d > 7*time.Second {
+		t.Errorf("moved after %v", d)
+	}
+}
+
+// A planned stop: standing clients are moved, what comes in the grace is served, then the drain is over.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	b := newBalancer(t, newServer(t, "s-1", echo))
+	old := b.client(t)
+	old.send(open)
+	old.want("UP receipt-1\r\n")
+	over := b.module.Drain(3400 * time.Millisecond)
+	late := b.client(t)
+	late.send(open)
+	late.want("UP receipt-1\r\n")
+	old.want("MOVE\r\n")
+	old.wantEnd()
+	late.want("MOVE\r\n")
+	late.wantEnd()
+	old.conn.Close()
+	late.conn.Close()
+	select {
+	case <-over:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the drain does not end")
+	}
+}
+
+// A client that reads nothing holds its server back and harms nobody else.
+func TestBackpressure(t *testing.T) {
+	t.Parallel()
+	sent := make(chan int, 1)
+	b := newBalancer(t, newServer(t, "s-1", func(conn net.Conn, r *bufio.Reader) {
+		io.WriteString(conn, "UP r\r\n")
+		n := 0
+		for conn.SetWriteDeadline(time.Now().Add(time.Second)); ; n++ {
+			if _, err := io.WriteString(conn, strings.Repeat("x", 1022)+"\r\n"); err != nil {
+				break
+			}
+		}
+		sent <- n
+	}))
+	slow := b.client(t)
+	slow.send(open)
+	slow.want("UP r\r\n")
+	if n := <-sent; n > 64<<10 {
+		t.Errorf("%d KiB were taken for a client that reads nothing", n)
+	}
+	other := b.client(t)
+	other.send(open)
+	other.want("UP r\r\n")
+}
--- a/internal/line/reply.go
+++ b/internal/line/reply.go
@@ -9,7 +9,11 @@
 	"cottonplank/decide"
 )
 
-var errLong = errors.New("line is longer than 4 KiB")
+// Lines that break the protocol's form.
+var (
+	errLong = errors.New("line is longer than 4 KiB")
+	errBare = errors.New("line does not end with CRLF")
+)
 
 // readLine reads one line without its end. textproto's ReadLine has no bound; the reader's buffer, which
 // textproto.NewConn makes 4 KiB, is the bound here.
@@ -23,7 +27,7 @@
 	}
 	text, ok := strings.CutSuffix(string(raw), "\r\n")
 	if !ok {
-		return "", errors.New("line does not end with CRLF")
+		return "", errBare
 	}
 	return text, nil
 }
--- a/internal/quic/front.go
+++ b/internal/quic/front.go
@@ -87,8 +87,9 @@
 func (f *Front) Serve(ctx context.Context) {
 	defer f.actors.Wait()
 	defer close(f.closed)
-	stop := context.AfterFunc(ctx, func() { f.conn.Close() })
-	defer stop()
+	// Closed here and not by context.AfterFunc: stopping that one can come before its call, and the reader
+	// would never end.
+	defer f.conn.Close()
 	f.actors.Go(func() { f.read(ctx) })
 	for {
 		select {
--- /dev/null
+++ b/internal/resolver/resolver_test.go
@@ -0,0 +1,141 @@
+package resolver
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cottonplank/decide"
+	"cottonplank/internal/core"
+
+	"github.com/sirupsen/logrus"
+)
+
+const entry = `{"instanceId":"s-5be2a07c","hostPort":"10.1.0.18:9000","zone":"a","machineType":"m2","cell":3,` +
+	`"lifecycle":"active","weight":1.0,"startedAtMs":1700000000000}`
+
+const list = `{"generation":41,"reset":true,"instances":[` + entry + `]}`
+
+func TestDecode(t *testing.T) {
+	l, err := Decode([]byte(list))
+	if err != nil || l.Generation != 41 || !l.Reset || len(l.Instances) != 1 {
+		t.Fatalf("%+v, %v", l, err)
+	}
+	in := l.Instances[0]
+	if in.Name != "s-5be2a07c" || in.ID != core.ServerID(in.Name) || in.Zone != "a" || in.Cell != 3 ||
+		in.State != decide.Ready || !in.Started.Equal(time.UnixMilli(1700000000000)) {
+		t.Errorf("%+v", in)
+	}
+	for _, bad := range []struct{ old, new string }{
+		{`"active"`, `"asleep"`}, {`"s-5be2a07c"`, `""`}, {`10.1.0.18:9000`, `nowhere`}, {`1.0`, `-1`},
+		{`"generation":41,`, ``}, {`}]}`, `}]`}, {`"cell":3`, `"cell":"x"`},
+	} {
+		if l, err := Decode([]byte(strings.Replace(list, bad.old, bad.new, 1))); err == nil {
+			t.Errorf("%s for %s: taken as %+v", bad.new, bad.old, l)
+		}
+	}
+}
+
+// sink keeps what comes.
+type sink struct{ results chan core.Result }
+
+func (s *sink) Resolved(r core.Result) { s.results <- r }
+func (s *sink) ListAlive()             {}
+
+func (s *sink) want(t *testing.T, kind decide.ListKind, lines int) {
+	t.Helper()
+	select {
+	case r := <-s.results:
+		if r.Kind != kind || len(r.Instances) != lines {
+			t.Fatalf("result %+v, want kind %d with %d lines", r, kind, lines)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("no result")
+	}
+}
+
+// discovery is a stand-in whose answers a test gives.
+func discovery(t *testing.T, answer http.HandlerFunc) (*Resolver, *sink) {
+	t.Helper()
+	server := httptest.NewServer(answer)
+	s := &sink{make(chan core.Result, 10)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := New(strings.TrimPrefix(server.URL, "http://"), 40, s, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { r.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait(); server.CloseClientConnections(); server.Close() })
+	return r, s
+}
+
+func TestFetchAndWatch(t *testing.T) {
+	more := make(chan string)
+	from := make(chan string, 10)
+	r, s := discovery(t, func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Query().Get("watch") == "" {
+			io.WriteString(w, list)
+			return
+		}
+		from <- req.URL.Query().Get("from")
+		for {
+			select {
+			case text, ok := <-more:
+				if !ok {
+					return
+				}
+				io.WriteString(w, text+"\n")
+				w.(http.Flusher).Flush()
+			case <-req.Context().Done():
+				return
+			}
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.FetchList(ctx)
+	s.want(t, decide.ListFull, 1)
+	r.Subscribe(ctx)
+	if got := <-from; got != "41" {
+		t.Errorf("watch from %s", got)
+	}
+	more <- `{"generation":42,"reset":false,"instances":[]}`
+	s.want(t, decide.ListChanges, 0)
+	more <- ``
+	more <- strings.Replace(strings.Replace(list, "41", "43", 1), "true", "false", 1)
+	s.want(t, decide.ListChanges, 1)
+	r.FetchList(ctx) // its answer is older than what the watch brought: it changes nothing
+	s.want(t, decide.ListChanges, 0)
+	more <- `garbage`
+	s.want(t, decide.ListFailed, 0)
+	close(more)
+	s.want(t, decide.ListFailed, 0)
+}
+
+// Errors, garbage and a call that hangs are failed calls and nothing worse.
+func TestFailedCalls(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{
+		"503":     func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) },
+		"garbage": func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "<html>") },
+		"too long": func(w http.ResponseWriter, _ *http.Request) {
+			io.WriteString(w, strings.Repeat(" ", maxList+1)+list)
+		},
+		"reset": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"hangs": func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, s := discovery(t, answer)
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+			r.Subscribe(ctx)
+			s.want(t, decide.ListFailed, 0)
+			r.FetchList(ctx)
+			s.want(t, decide.ListFailed, 0)
+		})
+	}
+}
