Add the read-only SNMP agent and COTTONPLANK-MIB

Tests: a client's walk by both ways, exceptions, strangers and garbage, and that MIB and agent agree. Also: the QUIC stand-in client numbers its texts; TestNewIDDuringDrain failed once because a repeated text's second answer was taken for the next one's (standin_test.go, say).

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -17,6 +17,7 @@
 	"cottonplank/internal/line"
 	"cottonplank/internal/quic"
 	"cottonplank/internal/resolver"
+	"cottonplank/internal/snmp"
 
 	"github.com/sirupsen/logrus"
 )
@@ -116,6 +117,12 @@
 			return err
 		}
 	}
+	var agent *snmp.Agent
+	if fronts.SNMP.Listen != "" {
+		if agent, err = snmp.New(fronts.SNMP.Listen, fronts.SNMP.Community, cfg.Name, module.Snapshot, log); err != nil {
+			return err
+		}
+	}
 
 	stop, unregister := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer unregister()
@@ -132,6 +139,9 @@
 	if connectionIDs != nil {
 		running.Go(func() { connectionIDs.Serve(ctx) })
 	}
+	if agent != nil {
+		running.Go(func() { agent.Serve(ctx) })
+	}
 	log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen, "known": len(cfg.Known)}).Info("serving")
 
 	<-stop.Done()
--- a/internal/quic/standin_test.go
+++ b/internal/quic/standin_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -134,12 +136,12 @@
 		return nil
 	}
 	c.heard++
-	text := raw[1+s.ids.Len():]
-	reply := append([]byte{fixedBit}, c.client...)
+	number, text, _ := bytes.Cut(raw[1+s.ids.Len():], []byte{' '})
 	if string(text) == "new id" {
-		return append(append(reply, s.name+" "...), s.issue(t, c)...)
+		text = s.issue(t, c)
 	}
-	return append(append(reply, s.name+" "...), text...)
+	reply := append([]byte{fixedBit}, c.client...)
+	return append(append(append(append(reply, number...), ' '), s.name+" "...), text...)
 }
 
 func (s *standInServer) set(mode answerMode) {
@@ -176,14 +178,14 @@
 
 // standInClient is one client; move gives it another address.
 type standInClient struct {
-	t        testing.TB
-	front    netip.AddrPort
-	conn     *net.UDPConn
-	first    []byte // its first id
-	own      []byte
-	server   []byte // the server's id that it uses
-	initial  []byte
-	timeouts int
+	t       testing.TB
+	front   netip.AddrPort
+	conn    *net.UDPConn
+	first   []byte // its first id
+	own     []byte
+	server  []byte // the server's id that it uses
+	initial []byte
+	said    int
 }
 
 func newClient(t testing.TB, front netip.AddrPort) *standInClient {
@@ -234,7 +236,6 @@
 		if err == nil {
 			return clone(buf[:n]), nil
 		}
-		c.timeouts++
 	}
 	return nil, errNoAnswer
 }
@@ -261,20 +262,22 @@
 	return findClose(payload)
 }
 
-// say sends a text and returns the answer's text.
+// say sends a text and returns the answer's text. Texts are numbered, so that the second answer to one that was
+// sent again is not taken for the answer to the next.
 func (c *standInClient) say(text string) (string, error) {
-	raw := append(append([]byte{fixedBit}, c.server...), text...)
-	answer, err := c.exchange(raw, 300*time.Millisecond, 5*time.Second)
-	for err == nil && answer[0]&longForm != 0 { // the answer to a repeated Initial
-		answer, err = c.exchange(raw, 300*time.Millisecond, 5*time.Second)
-	}
-	if err != nil {
-		return "", err
-	}
-	if len(answer) < 1+len(c.own) || !bytes.Equal(answer[1:1+len(c.own)], c.own) {
-		return "", errors.New("answer is not for this client's id")
+	c.said++
+	number := strconv.Itoa(c.said) + " "
+	raw := append(append([]byte{fixedBit}, c.server...), number+text...)
+	head := string(append([]byte{fixedBit}, c.own...)) + number
+	for {
+		answer, err := c.exchange(raw, 300*time.Millisecond, 5*time.Second)
+		if err != nil {
+			return "", err
+		}
+		if text, ok := strings.CutPrefix(string(answer), head); ok {
+			return text, nil
+		}
 	}
-	return string(answer[1+len(c.own):]), nil
 }
 
 // noList and noProbes stand in for discovery and for the line front's probes.
--- /dev/null
+++ b/internal/snmp/agent_test.go
@@ -0,0 +1,172 @@
+package snmp
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cottonplank/decide"
+	"cottonplank/internal/core"
+
+	"github.com/gosnmp/gosnmp"
+	"github.com/sirupsen/logrus"
+)
+
+func snapshot() *core.Snapshot {
+	s := &core.Snapshot{Counters: core.Counters{Served: 5, Refused: 4, Failed: 3, Attempts: 9, Moves: 2, Probes: 7},
+		Started: time.Now().Add(-time.Minute), ListAt: time.Now().Add(-3 * time.Second), Open: 6, Waiting: 1}
+	for i := range 14 {
+		name := fmt.Sprintf("s-%d", i)
+		s.Subchannels = append(s.Subchannels, core.SubchannelRow{Zone: "a", State: decide.Draining, Open: i, Load: 0.5,
+			Subchannel: core.Subchannel{ID: core.ServerID(name), Instance: name, Address: "127.0.0.1:1"}})
+	}
+	return s
+}
+
+func start(t *testing.T, community string) *gosnmp.GoSNMP {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := snapshot()
+	a, err := New("127.0.0.1:0", "secret", "n3", func() *core.Snapshot { return s }, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { a.Serve(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	client := &gosnmp.GoSNMP{Target: "127.0.0.1", Port: uint16(a.Addr().Port), Community: community,
+		Version: gosnmp.Version2c, Timeout: 2 * time.Second, Retries: 2, MaxOids: 60}
+	if err := client.Connect(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Conn.Close() })
+	return client
+}
+
+// mibObjects reads names, identifiers and syntaxes of the objects that the MIB lets be read.
+func mibObjects(t *testing.T) map[string]gosnmp.Asn1BER {
+	t.Helper()
+	raw, err := os.ReadFile("../../mibs/COTTONPLANK-MIB.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := map[string]string{"enterprises": ".1.3.6.1.4.1"}
+	found := map[string]gosnmp.Asn1BER{}
+	kinds := map[string]gosnmp.Asn1BER{"Counter64": gosnmp.Counter64, "Gauge32": gosnmp.Gauge32,
+		"DisplayString": gosnmp.OctetString, "INTEGER": gosnmp.Integer, "Integer32": gosnmp.Integer}
+	definition := regexp.MustCompile(`(?ms)^(\w+) +(?:OBJECT-TYPE|MODULE-IDENTITY|OBJECT IDENTIFIER)(.*?)::= \{ (\w+) ([\d ]+) \}`)
+	syntax := regexp.MustCompile(`SYNTAX\s+(\w+)`)
+	for _, m := range definition.FindAllStringSubmatch(string(raw), -1) {
+		at[m[1]] = at[m[3]] + "." + strings.ReplaceAll(m[4], " ", ".")
+		if strings.Contains(m[2], "read-only") {
+			found[m[1]+" "+at[m[1]]] = kinds[syntax.FindStringSubmatch(m[2])[1]]
+		}
+	}
+	return found
+}
+
+func TestMIBAndAgentAgree(t *testing.T) {
+	want := mibObjects(t)
+	got := map[string]gosnmp.Asn1BER{}
+	for _, s := range scalars {
+		if s.name != "" {
+			got[s.name+" "+s.oid] = s.kind
+		}
+	}
+	for _, c := range columns {
+		got[c.name+" "+c.oid] = c.kind
+	}
+	if len(want) != len(got) {
+		t.Errorf("the MIB has %d objects, the agent %d", len(want), len(got))
+	}
+	for name, kind := range want {
+		if got[name] != kind {
+			t.Errorf("%s: the MIB says %v, the agent %v", name, kind, got[name])
+		}
+	}
+}
+
+// A walk, by GETNEXT and by GETBULK, shows each object once, in order.
+func TestWalk(t *testing.T) {
+	client := start(t, "secret")
+	for name, walk := range map[string]func(string) ([]gosnmp.SnmpPDU, error){
+		"next": client.WalkAll, "bulk": client.BulkWalkAll} {
+		all, err := walk(".1.3.6.1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := len(scalars) + 14*len(columns); len(all) != n {
+			t.Errorf("%s: %d values, want %d", name, len(all), n)
+		}
+		if !slices.IsSortedFunc(all, func(a, b gosnmp.SnmpPDU) int { return slices.Compare(parseOID(a.Name), parseOID(b.Name)) }) {
+			t.Errorf("%s: not in order", name)
+		}
+		values := map[string]any{}
+		for _, v := range all {
+			values[v.Name] = v.Value
+		}
+		for oid, want := range map[string]any{objects + ".1.0": uint64(5), objects + ".9.0": uint(6),
+			objects + ".8.0": uint(3), entry + ".5." + fmt.Sprint(core.ServerID("s-3")): 2,
+			entry + ".8." + fmt.Sprint(core.ServerID("s-3")): 500} {
+			if values[oid] != want {
+				t.Errorf("%s: %s is %v (%T), want %v", name, oid, values[oid], values[oid], want)
+			}
+		}
+		if string(values[system+".5.0"].([]byte)) != "n3" {
+			t.Errorf("sysName is %s", values[system+".5.0"])
+		}
+	}
+}
+
+func TestExceptions(t *testing.T) {
+	client := start(t, "secret")
+	r, err := client.Get([]string{objects + ".1.0", objects + ".1.1", objects + ".99.0", entry + ".2.1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []gosnmp.Asn1BER{gosnmp.Counter64, gosnmp.NoSuchInstance, gosnmp.NoSuchObject, gosnmp.NoSuchInstance}
+	for i, v := range r.Variables {
+		if v.Type != want[i] {
+			t.Errorf("GET %s: %v, want %v", v.Name, v.Type, want[i])
+		}
+	}
+	if r, err = client.GetNext([]string{".1.3.7"}); err != nil || r.Variables[0].Type != gosnmp.EndOfMibView {
+		t.Errorf("GETNEXT past the end: %+v, %v", r, err)
+	}
+	r, err = client.GetBulk([]string{objects + ".1.0", objects + ".9.0"}, 1, 3)
+	if err != nil || len(r.Variables) != 4 || r.Variables[0].Name != objects+".2.0" || r.Variables[1].Name != objects+".10.0" {
+		t.Errorf("GETBULK: %+v, %v", r, err)
+	}
+	r, err = client.Set([]gosnmp.SnmpPDU{{Name: objects + ".1.0", Type: gosnmp.Integer, Value: 1}})
+	if err != nil || r.Error != gosnmp.NotWritable {
+		t.Errorf("SET: %+v, %v", r, err)
+	}
+}
+
+// Another community hears nothing, and neither does garbage; the agent goes on.
+func TestSilentToStrangers(t *testing.T) {
+	client := start(t, "wrong")
+	client.Timeout, client.Retries = 200*time.Millisecond, 0
+	if r, err := client.Get([]string{objects + ".1.0"}); err == nil {
+		t.Errorf("another community was answered %+v", r)
+	}
+	client.Conn.SetDeadline(time.Time{})
+	for _, raw := range []string{"\x30", "\x30\x82\xff\xff\x02\x01\x01", "garbage", "\x30\x03\x02\x01\x01"} {
+		if _, err := client.Conn.Write([]byte(raw)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	client.Community, client.Timeout, client.Retries = "secret", 2*time.Second, 2
+	if _, err := client.Get([]string{objects + ".1.0"}); err != nil {
+		t.Errorf("after garbage: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/snmp/tree.go
@@ -0,0 +1,172 @@
+package snmp
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cottonplank/decide"
+	"cottonplank/internal/core"
+
+	"github.com/gosnmp/gosnmp"
+)
+
+// The module's place: RFC 5612's enterprise number for examples, see mibs/COTTONPLANK-MIB.txt.
+const (
+	mibRoot = ".1.3.6.1.4.1.32473.1"
+	objects = mibRoot + ".1"
+	entry   = objects + ".20.1"
+	system  = ".1.3.6.1.2.1.1"
+)
+
+// object is one scalar, or one column of the subchannel table.
+type object struct {
+	name string // as in the MIB; empty for those of the system group
+	oid  string
+	kind gosnmp.Asn1BER
+}
+
+// scalar tells its value from a snapshot.
+type scalar struct {
+	object
+	value func(name string, s *core.Snapshot) any
+}
+
+// column tells its value from a row.
+type column struct {
+	object
+	value func(r *core.SubchannelRow) any
+}
+
+func counter(name, arc string, pick func(*core.Snapshot) uint64) scalar {
+	return scalar{object{name, objects + arc, gosnmp.Counter64},
+		func(_ string, s *core.Snapshot) any { return pick(s) }}
+}
+
+func gauge(name, arc string, pick func(*core.Snapshot) int) scalar {
+	return scalar{object{name, objects + arc, gosnmp.Gauge32},
+		func(_ string, s *core.Snapshot) any { return uint32(max(pick(s), 0)) }}
+}
+
+var scalars = []scalar{
+	{object{"", system + ".1", gosnmp.OctetString}, func(string, *core.Snapshot) any {
+		return "cottonplank, balancer of long-lived connections"
+	}},
+	{object{"", system + ".2", gosnmp.ObjectIdentifier}, func(string, *core.Snapshot) any { return mibRoot }},
+	{object{"", system + ".3", gosnmp.TimeTicks}, func(_ string, s *core.Snapshot) any {
+		return uint32(time.Since(s.Started) / (10 * time.Millisecond))
+	}},
+	{object{"", system + ".5", gosnmp.OctetString}, func(name string, _ *core.Snapshot) any { return name }},
+
+	counter("cpServed", ".1", func(s *core.Snapshot) uint64 { return s.Served }),
+	counter("cpRefused", ".2", func(s *core.Snapshot) uint64 { return s.Refused }),
+	counter("cpFailed", ".3", func(s *core.Snapshot) uint64 { return s.Failed }),
+	counter("cpAttempts", ".4", func(s *core.Snapshot) uint64 { return s.Attempts }),
+	counter("cpMoves", ".5", func(s *core.Snapshot) uint64 { return s.Moves }),
+	counter("cpProbes", ".6", func(s *core.Snapshot) uint64 { return s.Probes }),
+	counter("cpReopened", ".7", func(s *core.Snapshot) uint64 { return s.Reopened }),
+	gauge("cpListAge", ".8", func(s *core.Snapshot) int { return int(time.Since(s.ListAt) / time.Second) }),
+	gauge("cpOpenChannels", ".9", func(s *core.Snapshot) int { return s.Open }),
+	gauge("cpWaitingRequests", ".10", func(s *core.Snapshot) int { return s.Waiting }),
+}
+
+var columns = []column{
+	{object{"cpSubchannelInstance", entry + ".2", gosnmp.OctetString}, func(r *core.SubchannelRow) any { return r.Instance }},
+	{object{"cpSubchannelAddress", entry + ".3", gosnmp.OctetString}, func(r *core.SubchannelRow) any { return r.Address }},
+	{object{"cpSubchannelZone", entry + ".4", gosnmp.OctetString}, func(r *core.SubchannelRow) any { return r.Zone }},
+	{object{"cpSubchannelState", entry + ".5", gosnmp.Integer}, func(r *core.SubchannelRow) any {
+		return map[decide.State]int{decide.Ready: 1, decide.Draining: 2, decide.Gone: 3}[r.State]
+	}},
+	{object{"cpSubchannelOpen", entry + ".6", gosnmp.Gauge32}, func(r *core.SubchannelRow) any { return uint32(max(r.Open, 0)) }},
+	{object{"cpSubchannelAttempts", entry + ".7", gosnmp.Counter64}, func(r *core.SubchannelRow) any { return r.Attempts }},
+	{object{"cpSubchannelLoad", entry + ".8", gosnmp.Integer}, func(r *core.SubchannelRow) any {
+		if r.Load < 0 {
+			return -1
+		}
+		return int(math.Round(min(r.Load, 1e6) * 1000))
+	}},
+}
+
+// tree is all that one snapshot shows, in the order of the object identifiers.
+type tree struct {
+	bindings []binding
+}
+
+type binding struct {
+	oid []uint32
+	pdu gosnmp.SnmpPDU
+}
+
+func newTree(name string, s *core.Snapshot) *tree {
+	t := &tree{}
+	for _, o := range scalars {
+		t.add(o.oid+".0", o.kind, o.value(name, s))
+	}
+	for i := range s.Subchannels {
+		row := &s.Subchannels[i]
+		for _, c := range columns {
+			t.add(c.oid+"."+strconv.FormatUint(uint64(row.ID), 10), c.kind, c.value(row))
+		}
+	}
+	slices.SortFunc(t.bindings, func(a, b binding) int { return slices.Compare(a.oid, b.oid) })
+	return t
+}
+
+func (t *tree) add(oid string, kind gosnmp.Asn1BER, value any) {
+	t.bindings = append(t.bindings, binding{parseOID(oid), gosnmp.SnmpPDU{Name: oid, Type: kind, Value: value}})
+}
+
+func (t *tree) find(oid []uint32) (int, bool) {
+	return slices.BinarySearchFunc(t.bindings, oid, func(b binding, o []uint32) int { return slices.Compare(b.oid, o) })
+}
+
+// get is the value of exactly this object, or the exception that tells why there is none.
+func (t *tree) get(name string) gosnmp.SnmpPDU {
+	oid := parseOID(name)
+	if i, ok := t.find(oid); ok {
+		return t.bindings[i].pdu
+	}
+	for _, o := range known {
+		if len(oid) >= len(o) && slices.Equal(oid[:len(o)], o) {
+			return gosnmp.SnmpPDU{Name: name, Type: gosnmp.NoSuchInstance}
+		}
+	}
+	return gosnmp.SnmpPDU{Name: name, Type: gosnmp.NoSuchObject}
+}
+
+// next is the first value after an object identifier.
+func (t *tree) next(name string) gosnmp.SnmpPDU {
+	i, ok := t.find(parseOID(name))
+	if ok {
+		i++
+	}
+	if i >= len(t.bindings) {
+		return gosnmp.SnmpPDU{Name: name, Type: gosnmp.EndOfMibView}
+	}
+	return t.bindings[i].pdu
+}
+
+// known are the objects that exist, with an instance or without.
+var known = func() (all [][]uint32) {
+	for _, o := range scalars {
+		all = append(all, parseOID(o.oid))
+	}
+	for _, c := range columns {
+		all = append(all, parseOID(c.oid))
+	}
+	return all
+}()
+
+// parseOID reads an object identifier in dots; the codec has checked its form.
+func parseOID(name string) (oid []uint32) {
+	for arc := range strings.SplitSeq(strings.TrimPrefix(name, "."), ".") {
+		n, err := strconv.ParseUint(arc, 10, 32)
+		if err != nil {
+			return oid
+		}
+		oid = append(oid, uint32(n))
+	}
+	return oid
+}
