--- /dev/null
+++ b/internal/config/fuzz_test.go
@@ -0,0 +1,29 @@
+package config
+
+import (
+	"testing"
+
+	"cottonplank/decide"
+	"cottonplank/internal/seedcorpus"
+)
+
+// What is taken has what the program cannot do without.
+func FuzzParse(f *testing.F) {
+	seedcorpus.Add(f, []byte(good))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		c, err := Parse(raw, noEnv)
+		if err == nil && (len(c.Settings.Classes) == 0 || c.MaxChannels <= 0 || c.Listen == "") {
+			t.Errorf("%q is taken as %+v", raw, c)
+		}
+	})
+}
+
+func FuzzParseFronts(f *testing.F) {
+	seedcorpus.Add(f, []byte(goodFronts))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		q, err := ParseFronts(raw, []decide.Class{{Name: "solo-play"}})
+		if err == nil && q.QUIC.Listen != "" && (len(q.QUIC.ResetKey) < minResetKey || q.QUIC.Idle <= 0) {
+			t.Errorf("%q is taken as %+v", raw, q)
+		}
+	})
+}
--- /dev/null
+++ b/internal/resolver/fuzz_test.go
@@ -0,0 +1,20 @@
+package resolver
+
+import (
+	"testing"
+
+	"cottonplank/decide"
+	"cottonplank/internal/seedcorpus"
+)
+
+func FuzzDecode(f *testing.F) {
+	seedcorpus.Add(f, []byte(list), []byte(`{"generation":0,"instances":null}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		l, err := Decode(raw)
+		for _, in := range l.Instances {
+			if err != nil || in.Name == "" || in.State > decide.Gone || in.Weight < 0 {
+				t.Errorf("%q is taken as %+v, %v", raw, in, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/fuzz_test.go
@@ -0,0 +1,20 @@
+package wire
+
+import (
+	"bytes"
+	"testing"
+
+	"cottonplank/internal/seedcorpus"
+)
+
+func FuzzBatch(f *testing.F) {
+	seedcorpus.Add(f, []byte("FRAME\tt_s=1.5\tn=1\n"+createLine+"\nDEMAND\twho=3\tid=a\tservice=feed\tremaining_s=0.2\nCOMMIT\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		d := NewDecoder(bytes.NewReader(raw))
+		for range 10 {
+			if _, err := d.Batch(&recorder{}); err != nil {
+				return
+			}
+		}
+	})
+}
