--- a/decide/decide.go
+++ b/decide/decide.go
@@ -571,22 +571,23 @@
 	return b.spillAt > 0 && b.now-b.spillAt < spillFor || b.mean > roomy
 }
 
-// probe keeps the steady flow of probes over own-zone cached servers, as many as their price allows.
+// probe keeps the steady flow of probes, mostly over own-zone cached servers, as many as their price allows.
 func (b *Balancer) probe() {
 	if !b.set.MayProbe || len(b.local) == 0 {
 		return
 	}
-	rate := probeLeast
-	if p := b.set.Prices.Probe; p > 0 {
-		rate = max(rate, b.rate*probeShare/p)
+	rate := max(probeLeast, b.rate*probeShare/cmp.Or(b.set.Prices.Probe, math.Inf(1)))
+	away, turn := b.remote, 2
+	if !b.spilling() { // Guards against a server elsewhere whose overload nobody tells: those that hold own
+		away, turn = holding(b.remote), 4 // connections are looked at now and then, or these would stay there.
 	}
 	b.probeCredit = min(b.probeCredit+min(rate, float64(len(b.local)))*tick.Seconds(), poolSize)
 	for ; b.probeCredit >= 1; b.probeCredit-- {
-		b.probeNext++
-		list := b.local
-		if b.probeNext%2 == 0 && len(b.remote) > 0 && b.spilling() {
-			list = b.remote
+		if b.probeTurn++; b.probeTurn%turn == 0 && len(away) > 0 {
+			b.do(Probe{Server: away[b.probeTurn/turn%len(away)].ID})
+			continue
 		}
-		b.do(Probe{Server: list[b.probeNext/2%len(list)].ID})
+		b.probeNext++
+		b.do(Probe{Server: b.local[b.probeNext%len(b.local)].ID})
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1020,3 +1020,32 @@
 		return w.end(name("s", step-1), 0, ServerID((step-1)%9+1), Reset, true)
 	}
 }
+
+// Nobody tells that a server of another zone is overloaded: one that holds own connections is probed now and
+// then, also while the own zone has room, and loses some of them.
+func TestOverloadElsewhereIsSeen(t *testing.T) {
+	set := settings()
+	set.MayProbe = true
+	w := newWorld(t, set)
+	w.full(servers(3, 3))
+	for i := range 20 {
+		w.send(Opened{Request: Requested{ID: RequestID(name("o", i)), Class: safe}, Server: 102})
+	}
+	moved := 0
+	for range 20 {
+		for _, p := range find[Probe](w.tick(time.Second)) {
+			load := 0.3
+			if p.Server > 100 {
+				load = 1.4
+				if p.Server != 102 {
+					t.Fatalf("server %d of another zone holds nothing and is probed", p.Server)
+				}
+			}
+			moved += len(find[Move](w.report(p.Server, load)))
+		}
+		moved += len(find[Move](w.tick(tick)))
+	}
+	if moved == 0 {
+		t.Error("no connection was moved off the overloaded server")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -78,7 +78,8 @@
 	pool, away          []*server     // fresh answers, oldest first: own zone; others, while it lacks room
 	mean                float64       // average load that own-zone probes tell
 	spillAt             time.Duration // when the own zone last lacked room
-	probeNext           int
+	probeNext           int           // rotates the probes of the own zone,
+	probeTurn           int           // and decides when it is another's turn
 	probeCredit         float64
 	requests            map[RequestID]*request
 	bySeq               map[uint64]*request
@@ -204,6 +205,16 @@
 	return best
 }
 
+// holding is those of a list that hold connections of this balancer.
+func holding(list []*server) (some []*server) {
+	for _, s := range list {
+		if len(s.conns) > 0 {
+			some = append(some, s)
+		}
+	}
+	return some
+}
+
 // first is the first fit server of a list.
 func first(list []*server, fit func(*server) bool) *server {
 	if i := slices.IndexFunc(list, fit); i >= 0 {
