--- a/decide/decide.go
+++ b/decide/decide.go
@@ -577,14 +577,14 @@
 		return
 	}
 	rate := max(probeLeast, b.rate*probeShare/cmp.Or(b.set.Prices.Probe, math.Inf(1)))
-	away, turn := b.remote, 2
+	away := b.remote
 	if !b.spilling() { // Guards against a server elsewhere whose overload nobody tells: those that hold own
-		away, turn = holding(b.remote), 4 // connections are looked at now and then, or these would stay there.
+		away = holding(b.remote) // connections are looked at, or these would stay there.
 	}
 	b.probeCredit = min(b.probeCredit+min(rate, float64(len(b.local)))*tick.Seconds(), poolSize)
 	for ; b.probeCredit >= 1; b.probeCredit-- {
-		if b.probeTurn++; b.probeTurn%turn == 0 && len(away) > 0 {
-			b.do(Probe{Server: away[b.probeTurn/turn%len(away)].ID})
+		if b.probeTurn++; b.probeTurn%2 == 0 && len(away) > 0 {
+			b.do(Probe{Server: away[b.probeTurn/2%len(away)].ID})
 			continue
 		}
 		b.probeNext++
