Probe a server elsewhere at once when it holds connections and was never looked at

Seen: with steady probes alone the first look came seconds after the start, while the first 10 s weigh most. decide.go, probe.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -392,12 +392,6 @@
 	b.retryWaiting()
 }
 
-// alive notes that a server answers.
-func (b *Balancer) alive(s *server) {
-	s.streak = 0
-	b.sign()
-}
-
 func (b *Balancer) ended(ev Ended) {
 	s, r := b.server(ev.Server), b.requests[ev.ID]
 	b.judge(s, ev.Code)
@@ -581,6 +575,10 @@
 	if !b.spilling() { // Guards against a server elsewhere whose overload nobody tells: those that hold own
 		away = holding(b.remote) // connections are looked at, or these would stay there.
 	}
+	if s := first(away, func(s *server) bool { return s.at == 0 && b.now-s.asked > askAfter }); s != nil {
+		s.asked = b.now // one that was never looked at comes ahead of the steady probes
+		b.do(Probe{Server: s.ID})
+	}
 	b.probeCredit = min(b.probeCredit+min(rate, float64(len(b.local)))*tick.Seconds(), poolSize)
 	for ; b.probeCredit >= 1; b.probeCredit-- {
 		if b.probeTurn++; b.probeTurn%2 == 0 && len(away) > 0 {
--- a/decide/state.go
+++ b/decide/state.go
@@ -178,6 +178,12 @@
 // sign notes that some server answers.
 func (b *Balancer) sign() { b.lastSign, b.failing = b.now, false }
 
+// alive notes that a server answers.
+func (b *Balancer) alive(s *server) {
+	s.streak = 0
+	b.sign()
+}
+
 // without takes x out of list, in place.
 func without[T comparable](list []T, x T) []T {
 	return slices.DeleteFunc(list, func(y T) bool { return y == x })
