--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,6 +27,7 @@
 	ejectFirst   = 4 * time.Second         // outlier ejection: first time out, doubled on and on,
 	ejectMost    = 30 * time.Second        // at most this
 	fullRest     = time.Second             // a full server is left alone for this
+	refuseRest   = 200 * time.Millisecond  // a refused client is told to stay away for this, up to twice
 	reportLag    = 2 * time.Second         // for so long a report may not show a placement yet
 	fadeTime     = 10 * time.Second        // memory of attempts for throttling
 	rateTime     = 20 * time.Second        // memory of the rate of connections set up
@@ -461,7 +462,7 @@
 func (b *Balancer) answer(r *request) {
 	c := b.classOf(r)
 	if c.Repeat == Safe || r.ran == nil && !r.out || c.Repeat == Keyed && c.Scope == ScopeAll {
-		b.do(Refuse{ID: r.ID})
+		b.do(Refuse{ID: r.ID, RetryAfter: min(refuseRest+b.jitter(refuseRest), b.set.MaxRetryAfter)})
 	} else {
 		b.do(Fail{ID: r.ID})
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1049,3 +1049,19 @@
 		t.Error("no connection was moved off the overloaded server")
 	}
 }
+
+// A refusal says when to come back, within what a client honours, so that refused clients neither come at once
+// nor together.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	for _, most := range []time.Duration{0, 100 * time.Millisecond, 1500 * time.Millisecond} {
+		set := settings()
+		set.MaxTries, set.MaxRetryAfter = 1, most
+		w := newWorld(t, set)
+		w.full(servers(1, 0))
+		w.placed(w.ask("r", safe))
+		refused := find[Refuse](w.end("r", 0, 1, Full, false))
+		if len(refused) != 1 || refused[0].RetryAfter > most || (refused[0].RetryAfter == 0) != (most == 0) {
+			t.Errorf("at most %v: %+v", most, refused)
+		}
+	}
+}
--- a/internal/quic/front_test.go
+++ b/internal/quic/front_test.go
@@ -204,7 +204,7 @@
 	b := newBalancer(t, "127.0.0.1:0", ids, nil, s1.instance(decide.Ready), s2.instance(decide.Ready))
 	c := newClient(t, b.front.Addr())
 	closed, err := c.open(5 * time.Second)
-	if err != nil || closed == nil || closed.code != connectionRefused {
+	if err != nil || closed == nil || closed.code != connectionRefused || !strings.HasPrefix(closed.reason, "retry-after=") {
 		t.Fatalf("open: %+v, %v", closed, err)
 	}
 	eventually(t, "snapshot", func() bool { return b.module.Snapshot().Refused == 1 })
