Keep slow readers and health checks from holding up a planned stop

Found by reading: a move of a client that reads nothing blocked its actor in the write of MOVE (channel.go, serverEnded), past the core's Drop, and the process would not have ended in time; now bounded, with the exit itself bounded too. A health check that keeps its connection was dropped 15 s after it opened (call.go, Accept); a PING now renews that. TestBackpressure drains while a client reads nothing.

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"sync"
 	"syscall"
+	"time"
 
 	"cottonplank/internal/config"
 	"cottonplank/internal/core"
@@ -22,6 +23,9 @@
 	"github.com/sirupsen/logrus"
 )
 
+// exitWait is how long the actors may take to end once all is answered.
+const exitWait = 150 * time.Millisecond
+
 const usage = `usage: cottonplank COMMAND [FLAGS]
 
   serve     run the balancer; configuration comes from PROXY_CONFIG
@@ -151,7 +155,16 @@
 	log.WithFields(logrus.Fields{"served": s.Served, "refused": s.Refused, "failed": s.Failed, "left": s.Left,
 		"moves": s.Moves, "silent": s.Silent, "probes": s.Probes, "attempts": s.Attempts}).Info("stopped")
 	cancel()
-	running.Wait()
+	ended := make(chan struct{})
+	go func() { // ends with the process at the latest
+		running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(exitWait): // everything is answered: SIGKILL must not come first
+		log.Warn("stopped with actors that have not ended")
+	}
 	return nil
 }
 
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -61,6 +61,16 @@
 	return c
 }
 
+// Pinged tells that a channel which has asked for nothing shows that it lives, as a health check does: it may stay.
+func (m *Module) Pinged(c *Call) {
+	m.post(func() {
+		if c.phase == accepted {
+			m.deadlines.drop(c.end)
+			c.end = m.deadlines.set(m.now+firstLineWait, c.ch.Drop)
+		}
+	})
+}
+
 // Request tells what a channel asks for. Exactly one final answer follows while the channel stays open.
 func (m *Module) Request(c *Call, r Request) {
 	m.post(func() {
--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -165,6 +165,9 @@
 		if c.stands {
 			// The reader stops between two lines and tells; until then the actor goes on listening.
 			c.up.conn.SetReadDeadline(time.Unix(1, 0))
+			// Guards against a client that reads nothing: neither the reader nor this actor may hang in a
+			// write to it, or the process would not end in time.
+			c.client.SetWriteDeadline(time.Now().Add(moveWithin))
 		}
 	case orderDrop:
 		return false
@@ -209,6 +212,9 @@
 // reopenWithin is how long a connection that was open before the start may take to stand again.
 const reopenWithin = 40 * time.Second
 
+// moveWithin is how long a client may take to accept its MOVE.
+const moveWithin = 500 * time.Millisecond
+
 // dial starts a call attempt. The dial has its own goroutine; the line is written by the actor, so that an
 // attempt that was given up meanwhile writes nothing.
 func (c *channel) dial(ctx context.Context, a core.CallAttempt) {
@@ -339,6 +345,7 @@
 		}
 		if err == nil {
 			err = c.text.PrintfLine("PONG")
+			c.front.module.Pinged(c.call)
 		}
 		if err != nil {
 			c.tell(newsClientEnd{err})
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -396,4 +396,11 @@
 	other := b.client(t)
 	other.send(open)
 	other.want("UP r\r\n")
+	// Nor does it hold up a planned stop: the drain and all actors end.
+	select {
+	case <-b.module.Drain(3 * time.Second):
+	case <-time.After(20 * time.Second):
+		t.Fatal("the drain does not end")
+	}
+	b.stop()
 }
