Drop room servers that are gone from the core's table once nothing stands there

Found by reading: module.go kept every room server that was ever listed, so the table grew with each deploy. Test: TestGoneSubchannelsAreDropped.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -217,6 +217,7 @@
 	if c.phase == standing {
 		c.server.open--
 		c.phase = answered
+		m.dropGone(c.server)
 	}
 	if c.reopened && !final {
 		c.retryReopen()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -262,3 +262,22 @@
 		t.Errorf("the resumable one got %q", got)
 	}
 }
+
+// A room server that is gone leaves the table once nothing stands there.
+func TestGoneSubchannelsAreDropped(t *testing.T) {
+	t.Parallel()
+	m := run(t, 10, instance("s-1"), instance("s-2"))
+	ch := &fakeChannel{}
+	c := m.ask(ch, time.Second)
+	ch.wait(t, "attempt 0")
+	m.Up(c, 0)
+	m.Resolved(Result{Kind: decide.ListFull})
+	if s := settled(m); len(s.Subchannels) != 1 || s.Subchannels[0].Open != 1 {
+		t.Errorf("while it stands: %+v", s.Subchannels)
+	}
+	m.Ended(c, 0, decide.OK, decide.NoReport)
+	m.Closed(c)
+	if s := settled(m); len(s.Subchannels) != 0 {
+		t.Errorf("after its end: %+v", s.Subchannels)
+	}
+}
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -47,7 +47,7 @@
 	lastID      uint64
 	open        map[*Call]struct{}              // channels that have not closed
 	calls       map[decide.RequestID]*Call      // requests that the decision module still knows
-	subchannels map[decide.ServerID]*subchannel // every room server that was ever listed and may still be named
+	subchannels map[decide.ServerID]*subchannel // the room servers listed, and those gone that still hold connections
 	probes      map[uint64]*probe
 	probeSeq    uint64
 	watch       *listCall // the subscription
@@ -308,6 +308,15 @@
 func (m *Module) setGone(s *subchannel) {
 	s.state = decide.Gone
 	m.prober.Forget(s.ID)
+	m.dropGone(s)
+}
+
+// dropGone guards against a table that grows with each deploy: a room server that is gone stays in it only
+// while connections stand there. One that was listed again meanwhile has a new entry, which stays.
+func (m *Module) dropGone(s *subchannel) {
+	if s.state == decide.Gone && s.open == 0 && m.subchannels[s.ID] == s {
+		delete(m.subchannels, s.ID)
+	}
 }
 
 // hostClock turns a wall time into host-clock time; 0 stays long ago.
