Read the configuration again at SIGHUP and follow discovery to its new address

Cause: no handler for SIGHUP (cmd/cottonplank/main.go, serve); the resolver's address was fixed at New and its hear dropped a whole list of a lower version than the one in hand, which any new address may send. Also found while reading: garbage in a watch was skipped and the next line took the version past the change that was lost; a watch that had not answered lost its deadline when another was begun. Ruled out: a restart of the front, and touching connections: nothing but the list's actor hears of a reload.

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -28,7 +28,7 @@
 
 const usage = `usage: cottonplank COMMAND [FLAGS]
 
-  serve     run the balancer; configuration comes from PROXY_CONFIG
+  serve     run the balancer; configuration comes from PROXY_CONFIG, discovery again at SIGHUP
   check     read and check the configuration, then exit
   version   print the version
 
@@ -128,6 +128,9 @@
 		}
 	}
 
+	// Caught until the process ends, also in a planned stop: uncaught, SIGHUP would end it.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	stop, unregister := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer unregister()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -140,6 +143,7 @@
 	running.Go(func() { list.Run(ctx) })
 	running.Go(func() { module.Run(ctx, prober, list); prober.Wait() })
 	running.Go(func() { front.Serve(ctx, listener) })
+	running.Go(func() { reloads(ctx, hangup, module.Rediscover, log) })
 	if connectionIDs != nil {
 		running.Go(func() { connectionIDs.Serve(ctx) })
 	}
@@ -168,6 +172,25 @@
 	return nil
 }
 
+// reloads reads the configuration again at each SIGHUP and takes discovery's address over. A faulty file changes
+// nothing: the address that was in force stays.
+func reloads(ctx context.Context, hangup <-chan os.Signal, rediscover func(address string), log *logrus.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		}
+		cfg, err := config.Reload()
+		if err != nil {
+			log.WithError(err).Error("configuration is faulty, the one in force stays")
+			continue
+		}
+		log.WithField("discovery", cfg.Discovery).Info("configuration read again")
+		rediscover(cfg.Discovery)
+	}
+}
+
 func quicFront(cfg *config.Config, q config.QUIC, module *core.Module, log *logrus.Logger) (*quic.Front, error) {
 	ids, err := quic.NewIDFormat(q.ConfigID, q.NonceLen, q.IDKey)
 	if err != nil {
--- a/cmd/cottonplank/main_test.go
+++ b/cmd/cottonplank/main_test.go
@@ -1,13 +1,32 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 )
 
+// serveVariable makes the test's program serve, so that tests can send signals to a process of its own.
+const serveVariable = "COTTONPLANK_TEST_SERVE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(serveVariable) != "" {
+		os.Exit(run([]string{"serve"}, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
 func TestUsage(t *testing.T) {
 	t.Setenv("PROXY_CONFIG", "")
 	for _, v := range []struct {
@@ -42,3 +61,105 @@
 		t.Errorf("status %d, output %q", status, out.String())
 	}
 }
+
+// discovery is a stand-in that answers each call with an empty list and tells of it.
+func discovery(t *testing.T) (address string, calls chan string) {
+	calls = make(chan string, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		io.WriteString(w, `{"generation":3,"reset":true,"instances":[]}`+"\n")
+		w.(http.Flusher).Flush()
+		calls <- req.URL.RawQuery
+		if req.URL.RawQuery != "" {
+			<-req.Context().Done()
+		}
+	}))
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	return strings.TrimPrefix(server.URL, "http://"), calls
+}
+
+func replace(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// SIGHUP turns the running program to the discovery that the file now names, before PROXY_DISCOVERY; a client's
+// connection stays. A faulty file changes nothing, and SIGHUP in a planned stop is harmless.
+func TestReload(t *testing.T) {
+	first, firstCalls := discovery(t)
+	second, secondCalls := discovery(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0") // a free port for the program
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := l.Addr().String()
+	l.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := func(discovery string) string {
+		return fmt.Sprintf(`{"name":"n3","listen":%q,"discovery":%q,"seed":"8c","settings":{"zone":"a","membership_mode":
+"subscribe","rules":{"must_ask_in_s":0.2},"profiles":[{"name":"solo-play","aim_s":0.3,"give_up_s":1,"repeat":"idempotent"}]}}`, listen, discovery)
+	}
+	replace(t, path, text(first))
+	var logged bytes.Buffer
+	program := exec.Command(os.Args[0])
+	program.Env = append(os.Environ(), serveVariable+"=1", "PROXY_CONFIG="+path, "PROXY_DISCOVERY="+first)
+	program.Stderr = &logged
+	if err := program.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer program.Process.Kill()
+	hangUp := func() {
+		if err := program.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var client net.Conn
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if client, err = net.Dial("tcp", listen); err == nil {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+	defer client.Close()
+	client.SetDeadline(time.Now().Add(20 * time.Second))
+	answers := bufio.NewReader(client)
+	ping := func() {
+		t.Helper()
+		io.WriteString(client, "PING\r\n")
+		if line, err := answers.ReadString('\n'); err != nil || line != "PONG\r\n" {
+			t.Fatalf("PING brings %q, %v", line, err)
+		}
+	}
+	called := func(calls chan string) {
+		t.Helper()
+		select {
+		case <-calls:
+		case <-time.After(20 * time.Second):
+			t.Fatal("discovery was not asked")
+		}
+	}
+	ping()
+	called(firstCalls)
+	replace(t, path, `{"discovery":"nowhere"`)
+	hangUp()
+	ping()
+	replace(t, path, text(second))
+	hangUp()
+	hangUp()
+	called(secondCalls)
+	ping()
+	if err := program.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	hangUp()
+	client.Close()
+	if err := program.Wait(); err != nil {
+		t.Errorf("ended with %v, log:\n%s", err, &logged)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -105,7 +105,20 @@
 }
 
 // Load reads the configuration from the environment.
-func Load() (*Config, error) {
+func Load() (*Config, error) { return load(os.Getenv) }
+
+// Reload reads the file again. Its discovery comes before PROXY_DISCOVERY, which tells only where discovery was at
+// the start. The caller takes over Discovery and nothing else; all of the file must be sound all the same.
+func Reload() (*Config, error) {
+	return load(func(key string) string {
+		if key == "PROXY_DISCOVERY" {
+			return ""
+		}
+		return os.Getenv(key)
+	})
+}
+
+func load(getenv func(string) string) (*Config, error) {
 	path := os.Getenv("PROXY_CONFIG")
 	if path == "" {
 		return nil, errors.New("PROXY_CONFIG is not set")
@@ -114,7 +127,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
 	}
-	return Parse(raw, os.Getenv)
+	return Parse(raw, getenv)
 }
 
 // Parse reads the JSON; the variables that getenv knows come before it.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,9 +53,11 @@
 	Forget(server decide.ServerID)
 }
 
-// Resolver asks discovery. Both calls must not block; what comes goes to Module.Resolved and Module.ListAlive
-// until ctx ends.
+// Resolver asks discovery. The calls must not block; what comes goes to Module.Resolved and Module.ListAlive
+// until ctx ends. Move turns to discovery at another address; the calls after it go there, the first watch with
+// the whole list.
 type Resolver interface {
+	Move(address string)
 	Subscribe(ctx context.Context)
 	FetchList(ctx context.Context)
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -94,13 +94,28 @@
 	t.Fatalf("orders are %q, want %q first", f.orders(), want)
 }
 
-type fakeServers struct{ mu sync.Mutex }
+type fakeServers struct {
+	mu    sync.Mutex
+	asked []string          // of discovery
+	watch []context.Context // of the watches asked for
+}
 
 func (*fakeServers) Probe(context.Context, uint64, Subchannel) {}
 func (*fakeServers) Forget(decide.ServerID)                    {}
-func (*fakeServers) Subscribe(context.Context)                 {}
 func (*fakeServers) FetchList(context.Context)                 {}
 
+func (f *fakeServers) Subscribe(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked, f.watch = append(f.asked, "watch"), append(f.watch, ctx)
+}
+
+func (f *fakeServers) Move(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = append(f.asked, "move to "+address)
+}
+
 func instance(name string) Instance {
 	return Instance{Name: name, Address: "x", Server: decide.Server{ID: ServerID(name), Zone: "a"}}
 }
@@ -121,6 +136,36 @@
 	return m
 }
 
+// A reload turns to the new address and begins the watch there at once; a watch that never answers still ends when
+// another was begun after it.
+func TestRediscover(t *testing.T) {
+	t.Parallel()
+	f := &fakeServers{}
+	m, err := New(Config{MaxChannels: 1, Log: func(string) {}, Settings: decide.Settings{Seed: 3, Zone: "a",
+		Classes: []decide.Class{{Name: "c", Aim: time.Second}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { m.Run(ctx, f, f) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	m.Rediscover("127.0.0.1:1")
+	m.Rediscover("127.0.0.1:2")
+	settled(m)
+	f.mu.Lock()
+	got, first := strings.Join(f.asked, ", "), f.watch[0]
+	f.mu.Unlock()
+	if got != "move to 127.0.0.1:1, watch, move to 127.0.0.1:2, watch" {
+		t.Errorf("asked: %s", got)
+	}
+	select {
+	case <-first.Done():
+	case <-time.After(20 * time.Second):
+		t.Error("the first watch, never answered, does not end")
+	}
+}
+
 func (m *Module) ask(ch Channel, within time.Duration) *Call {
 	c := m.Accept(ch, Traits{})
 	m.Request(c, Request{Deadline: time.Now().Add(within)})
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -80,6 +80,7 @@
 type listCall struct {
 	cancel context.CancelFunc
 	due    *deadline
+	alive  bool // it has shown a sign of life
 }
 
 // New checks the settings and returns a module that Run starts.
@@ -226,19 +227,24 @@
 // ---- the list
 
 func (m *Module) subscribe() {
-	// A watch that is open stays until the new one answers, so that no change is missed.
+	// A watch that is open stays until the new one answers, so that no change is missed. One that has not answered
+	// keeps its deadline: nothing else would end it.
 	ctx, cancel := context.WithCancel(m.ctx)
-	m.deadlines.drop(m.watchDue())
+	if m.watch != nil && m.watch.alive {
+		m.deadlines.drop(m.watch.due)
+	}
 	m.watch = &listCall{cancel: cancel}
 	m.watch.due = m.deadlines.set(m.now+listWait, cancel)
 	m.resolver.Subscribe(ctx)
 }
 
-func (m *Module) watchDue() *deadline {
-	if m.watch == nil {
-		return nil
-	}
-	return m.watch.due
+// Rediscover turns to discovery at another address and begins the watch there at once. The list as it is stands
+// meanwhile, and no channel hears of it.
+func (m *Module) Rediscover(address string) {
+	m.post(func() {
+		m.resolver.Move(address)
+		m.subscribe()
+	})
 }
 
 func (m *Module) fetchList() {
@@ -256,6 +262,7 @@
 	m.post(func() {
 		if m.watch != nil {
 			m.deadlines.drop(m.watch.due)
+			m.watch.alive = true
 			m.watch.due = m.deadlines.set(m.now+watchWait, m.watch.cancel)
 		}
 	})
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -100,6 +100,7 @@
 
 func (noList) Subscribe(context.Context) {}
 func (noList) FetchList(context.Context) {}
+func (noList) Move(string)               {}
 
 type noProbes struct{}
 
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -29,16 +29,19 @@
 
 // Resolver is the list's actor.
 type Resolver struct {
-	url    string
 	client *http.Client
 	sink   Sink
 	log    *logrus.Logger
 	orders chan call
+	moves  chan string
 	news   chan news
 	calls  sync.WaitGroup
 
 	// Owned by Run's goroutine.
-	generation int64
+	url        string
+	era        int   // counts the addresses of discovery; versions of one mean nothing at another
+	generation int64 // the list's version
+	listed     bool  // the generation is one of this address's
 	lastCall   int
 	watching   int    // the call whose watch is listened to
 	endWatch   func() // ends it
@@ -50,22 +53,38 @@
 	cancel context.CancelFunc
 	watch  bool
 	number int
+	url    string
+	era    int
 	from   int64
+	whole  bool // a watch that asks for the whole list first
 }
 
-// news is what a call brought: a line of its answer, or its end.
+// news is what a call brought: a list, a sign of life, or its end.
 type news struct {
-	call call
-	line []byte
-	err  error
+	call    call
+	listing *Listing
+	err     error
 }
 
 // New returns a resolver for discovery at an address, with a list of the given version.
 func New(address string, generation int64, sink Sink, log *logrus.Logger) *Resolver {
 	return &Resolver{
-		url: "http://" + address + listPath, sink: sink, log: log, generation: generation,
+		url: listURL(address), sink: sink, log: log, generation: generation, listed: true,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
-		orders: make(chan call, orderSize), news: make(chan news), endWatch: func() {},
+		orders: make(chan call, orderSize), moves: make(chan string, orderSize), news: make(chan news),
+		endWatch: func() {},
+	}
+}
+
+func listURL(address string) string { return "http://" + address + listPath }
+
+// Move turns to discovery at another address, for the calls that are ordered after it. The list as it is, and the
+// watch that brings its changes, stand until the first of them is answered.
+func (r *Resolver) Move(address string) {
+	select {
+	case r.moves <- address:
+	default:
+		r.log.WithField("discovery", address).Warn("discovery: too many moves wait, one is left out")
 	}
 }
 
@@ -91,8 +110,10 @@
 		case <-ctx.Done():
 			return
 		case c := <-r.orders:
+			r.takeMoves() // those ordered before this call come before it
 			r.lastCall++
-			c.number, c.from = r.lastCall, r.generation
+			c.number, c.url, c.era, c.from = r.lastCall, r.url, r.era, r.generation
+			c.whole = c.watch && !r.listed
 			c.ctx, c.cancel = context.WithCancel(c.ctx)
 			r.calls.Go(func() { r.call(ctx, c) })
 		case n := <-r.news:
@@ -101,12 +122,30 @@
 	}
 }
 
-// hear takes a line or the end of a call. A watch goes on until the first answer of a newer one, which ends it;
-// what it still says then is old.
+func (r *Resolver) takeMoves() {
+	for {
+		select {
+		case address := <-r.moves:
+			r.url, r.listed = listURL(address), false
+			r.era++
+		default:
+			return
+		}
+	}
+}
+
+// hear takes a list, a sign of life or the end of a call. A watch goes on until the first answer of a newer one,
+// which ends it; what it still says then is old.
 func (r *Resolver) hear(n news) {
 	if n.call.watch && n.call.number < r.watching {
 		return
 	}
+	if n.call.era != r.era && (n.err != nil || n.call.number != r.watching) {
+		// Guards the list against an address that was left: only the watch that stands there still counts, and
+		// that it ends says nothing of discovery at the new address.
+		n.call.cancel()
+		return
+	}
 	if n.err != nil {
 		r.log.WithError(n.err).Warn("discovery: call failed")
 		r.sink.Resolved(core.Result{Kind: decide.ListFailed})
@@ -119,35 +158,44 @@
 		}
 		r.sink.ListAlive()
 	}
-	if len(n.line) == 0 {
-		return
-	}
-	l, err := Decode(n.line)
-	if err != nil {
-		// Guards against garbage: the old list stands, and the module asks again.
-		r.log.WithError(err).Warn("discovery: answer not understood")
-		r.sink.Resolved(core.Result{Kind: decide.ListFailed})
+	l := n.listing
+	if l == nil {
 		return
 	}
 	result := core.Result{Kind: decide.ListChanges, Instances: l.Instances}
 	if l.Reset {
 		result.Kind = decide.ListFull
 	}
-	if !n.call.watch && l.Generation < r.generation {
+	switch {
+	case n.call.era != r.era: // the old address's watch: its changes count, its versions do not
+	case !n.call.watch && r.listed && l.Generation < r.generation:
 		// Guards against a whole list that the watch has overtaken: it would bring back what drains.
 		result = core.Result{Kind: decide.ListChanges}
-	} else {
-		r.generation = l.Generation
+	default:
+		r.generation, r.listed = l.Generation, r.listed || l.Reset
 	}
 	r.sink.Resolved(result)
 }
 
-// call makes one call and brings each line of its answer to the actor.
+// call makes one call and brings what it says to the actor.
 func (r *Resolver) call(ctx context.Context, c call) {
 	defer c.cancel()
-	err := r.read(c, func(line []byte) {
-		r.tell(ctx, news{call: c, line: line})
-	})
+	from := c.from
+	heard := func(l *Listing) {
+		if l != nil {
+			from = l.Generation
+		}
+		r.tell(ctx, news{call: c, listing: l})
+	}
+	var err error
+	if !c.watch || c.whole {
+		err = r.read(c, c.url, heard)
+	}
+	if err == nil && c.watch {
+		if err = r.read(c, c.url+"?watch=1&from="+strconv.FormatInt(from, 10), heard); err == nil {
+			err = errors.New("watch ended")
+		}
+	}
 	if err != nil {
 		r.tell(ctx, news{call: c, err: err})
 	}
@@ -160,11 +208,8 @@
 	}
 }
 
-func (r *Resolver) read(c call, line func([]byte)) error {
-	url := r.url
-	if c.watch {
-		url += "?watch=1&from=" + strconv.FormatInt(c.from, 10)
-	}
+// read makes one HTTP call and hands on each line of its answer: a list, or nil for an empty line.
+func (r *Resolver) read(c call, url string, heard func(*Listing)) error {
 	req, err := http.NewRequestWithContext(c.ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return fmt.Errorf("list request: %w", err)
@@ -180,13 +225,20 @@
 	in := bufio.NewScanner(resp.Body)
 	in.Buffer(make([]byte, 0, 4096), maxList)
 	for in.Scan() {
-		line(append([]byte(nil), in.Bytes()...))
+		if len(in.Bytes()) == 0 {
+			heard(nil)
+			continue
+		}
+		l, err := Decode(in.Bytes())
+		if err != nil {
+			// Guards against garbage: the old list stands and the call ends here, for a later line would take
+			// the version past the change that could not be read. The module asks again.
+			return fmt.Errorf("list answer: %w", err)
+		}
+		heard(&l)
 	}
 	if err := in.Err(); err != nil {
 		return fmt.Errorf("list answer: %w", err)
 	}
-	if c.watch {
-		return errors.New("watch ended")
-	}
 	return nil
 }
--- a/internal/resolver/resolver_test.go
+++ b/internal/resolver/resolver_test.go
@@ -111,12 +111,63 @@
 	s.want(t, decide.ListChanges, 1)
 	r.FetchList(ctx) // its answer is older than what the watch brought: it changes nothing
 	s.want(t, decide.ListChanges, 0)
-	more <- `garbage`
+	more <- `garbage` // the watch ends there, and the next one asks from the last version that was read
 	s.want(t, decide.ListFailed, 0)
+	r.Subscribe(ctx)
+	if got := <-from; got != "43" {
+		t.Errorf("watch after garbage from %s", got)
+	}
 	close(more)
 	s.want(t, decide.ListFailed, 0)
 }
 
+// At a move the list that stands and its watch go on until the new address answers with a whole list; versions of
+// the old address mean nothing there, and that the old one ends is no failed call.
+func TestMove(t *testing.T) {
+	old, cut := make(chan string), make(chan struct{})
+	r, s := discovery(t, func(w http.ResponseWriter, req *http.Request) {
+		io.WriteString(w, strings.Replace(list, "41", "400", 1)+"\n")
+		for w.(http.Flusher).Flush(); ; w.(http.Flusher).Flush() {
+			select {
+			case text := <-old:
+				io.WriteString(w, text+"\n")
+			case <-cut:
+				panic(http.ErrAbortHandler)
+			}
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.Subscribe(ctx)
+	s.want(t, decide.ListFull, 1)
+	asked, answer := make(chan string, 10), make(chan struct{})
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		asked <- req.URL.RawQuery
+		<-answer
+		io.WriteString(w, strings.Replace(list, "41", "7", 1)+"\n")
+		w.(http.Flusher).Flush()
+		if req.URL.RawQuery != "" {
+			<-req.Context().Done()
+		}
+	}))
+	t.Cleanup(func() { next.CloseClientConnections(); next.Close() })
+	r.Move(strings.TrimPrefix(next.URL, "http://"))
+	r.Subscribe(ctx)
+	if got := <-asked; got != "" {
+		t.Errorf("the first call at the new address asks for %q, want the whole list", got)
+	}
+	old <- strings.Replace(strings.Replace(list, "41", "401", 1), "true", "false", 1)
+	s.want(t, decide.ListChanges, 1)
+	close(cut)
+	answer <- struct{}{}
+	s.want(t, decide.ListFull, 1)
+	if got := <-asked; got != "watch=1&from=7" {
+		t.Errorf("then it asks for %q", got)
+	}
+	close(answer)
+	s.want(t, decide.ListFull, 1)
+}
+
 // Errors, garbage and a call that hangs are failed calls and nothing worse.
 func TestFailedCalls(t *testing.T) {
 	for name, answer := range map[string]http.HandlerFunc{
