Budget the descriptors, shed silent channels, answer bad clients at once

Cause: firstLineWait of 15 s, renewed by each PING (core/module.go, core/call.go Pinged); MaxChannels bounded requests only, silent channels were unbounded (line/front.go Serve); ids were not compared, so a copy of an open request's id reached a room server (16 to 22 times); bytes before UP were kept and passed on (line/channel.go readClient); a malformed client's bytes were read without bound. A request that the core failed by itself stayed in the decision module's list. config refused fewer than 320 sockets, though limits go down to 256. Checked with a trace of first lines: all usual ids and keys are 16 hexadecimal digits, so the form is required. Ruled out: CPU (0.05 s in the busiest second) and memory (18 MB of 64) were not short.

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -84,6 +84,9 @@
 		return nil, config.Fronts{}, err
 	}
 	fronts, err := config.LoadFronts(frontsFile, cfg.Settings.Classes)
+	if err == nil {
+		err = cfg.Reserve(fronts)
+	}
 	return cfg, fronts, err
 }
 
@@ -138,7 +141,7 @@
 
 	prober := line.NewProber(ctx, module)
 	list := resolver.New(cfg.Discovery, cfg.Generation, module, log)
-	front := line.New(module, names(cfg), log)
+	front := line.New(module, names(cfg), line.Budget{Descriptors: cfg.Descriptors, DialSpare: cfg.DialSpare}, log)
 	var running sync.WaitGroup
 	running.Go(func() { list.Run(ctx) })
 	running.Go(func() { module.Run(ctx, prober, list); prober.Wait() })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,7 +25,9 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	memoryPart      = 0.7 // of the limit is the Go runtime's, the rest is what it does not count
-	spareSockets    = 160 // descriptors kept for probes, lists, listeners and channels that are refused
+	spareSockets    = 40  // descriptors kept for probes, lists, listeners and the runtime
+	dialPart        = 8   // one part in so many of the others is kept for dials: no channel is accepted with it
+	leastSockets    = 128
 	longestDeadline = 3 * time.Second
 	killAfter       = 700 * time.Millisecond // SIGKILL comes so long after the longest deadline
 	exitSpare       = 300 * time.Millisecond // kept of that for the exit itself
@@ -43,7 +45,9 @@
 	Cores       float64
 	MemoryMB    int
 	Sockets     int
-	MaxChannels int           // requests that may wait for their answer
+	Descriptors int           // that channels and their dials may hold,
+	DialSpare   int           // of which channels leave so many to dials
+	MaxChannels int           // requests that may wait and connections that may stand
 	StopBudget  time.Duration // from SIGTERM to the end
 }
 
@@ -210,10 +214,30 @@
 	if c.Sockets == 0 {
 		c.Sockets = defaultSockets
 	}
-	if c.Sockets < 2*spareSockets {
-		return fmt.Errorf("limits.sockets: %d is too few, %d at least", c.Sockets, 2*spareSockets)
+	if c.Sockets < leastSockets {
+		return fmt.Errorf("limits.sockets: %d is too few, %d at least", c.Sockets, leastSockets)
 	}
-	c.MaxChannels = (min(c.Sockets, defaultSockets) - spareSockets) / 2
+	c.share(0)
+	return nil
+}
+
+// share makes one budget of the descriptors, less those that flows hold, one each.
+func (c *Config) share(flows int) {
+	c.Descriptors = c.Sockets - spareSockets - flows
+	c.DialSpare = c.Descriptors / dialPart
+	c.MaxChannels = (c.Descriptors - c.DialSpare) / 2
+}
+
+// Reserve takes the descriptors of the QUIC front's flows out of the budget.
+func (c *Config) Reserve(f Fronts) error {
+	if f.QUIC.Listen == "" {
+		return nil
+	}
+	if most := (c.Sockets - spareSockets) / 2; f.QUIC.MaxFlows > most {
+		return fmt.Errorf("quic.max_flows: %d is more than half of what limits.sockets %d leaves, %d", f.QUIC.MaxFlows,
+			c.Sockets, most)
+	}
+	c.share(f.QUIC.MaxFlows)
 	return nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -43,6 +43,27 @@
 	}
 }
 
+// The smallest limits that a deployment gives are enough, and the parts stay within them.
+func TestDescriptorsAreShared(t *testing.T) {
+	for _, sockets := range []string{"256", "384", "1100"} {
+		c, err := Parse([]byte(strings.Replace(good, "1100", sockets, 1)), noEnv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		third := c.Sockets / 3 // what usual clients may hold; each has a dial
+		if c.Descriptors > c.Sockets-spareSockets || c.MaxChannels < third || 2*c.MaxChannels > c.Descriptors {
+			t.Errorf("%s descriptors: %+v", sockets, c)
+		}
+	}
+	c, _ := Parse([]byte(good), noEnv)
+	if err := c.Reserve(Fronts{QUIC: QUIC{Listen: "x", MaxFlows: 100}}); err != nil || c.Descriptors != 1100-spareSockets-100 {
+		t.Errorf("with flows: %+v, %v", c, err)
+	}
+	if err := c.Reserve(Fronts{QUIC: QUIC{Listen: "x", MaxFlows: 600}}); err == nil || !strings.Contains(err.Error(), "quic.max_flows: 600") {
+		t.Errorf("too many flows: %v", err)
+	}
+}
+
 // Errors name the faulty key and its value.
 func TestFaultyKeysAreNamed(t *testing.T) {
 	for _, v := range []struct{ old, new, want string }{
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -34,6 +34,8 @@
 	reopened bool
 	patience time.Duration
 	moved    bool
+	since    time.Duration // when it last showed that it lives, or had its answer
+	dropped  bool          // it was shed
 
 	connect, wait, silence, end *deadline
 }
@@ -46,6 +48,8 @@
 	Idle time.Duration
 	// Resumable connections outlive this process: a planned stop leaves them to the one that starts next.
 	Resumable bool
+	// Descriptor says that the client's side holds a descriptor, which a dropped channel frees.
+	Descriptor bool
 }
 
 // Accept tells that a channel is open; its first line is awaited.
@@ -56,21 +60,44 @@
 	}
 	m.post(func() {
 		m.open[c] = struct{}{}
+		c.since = m.now
 		c.end = m.deadlines.set(m.now+firstLineWait, ch.Drop)
 	})
 	return c
 }
 
-// Pinged tells that a channel which has asked for nothing shows that it lives, as a health check does: it may stay.
+// Pinged tells that a channel which has asked for nothing shows that it lives. A health check that asks again and
+// again may stay; one that asked once, or many times at a stroke, is dropped as one that said nothing.
 func (m *Module) Pinged(c *Call) {
 	m.post(func() {
-		if c.phase == accepted {
+		if c.phase == accepted && m.now-c.since >= pingApart {
+			c.since = m.now
 			m.deadlines.drop(c.end)
 			c.end = m.deadlines.set(m.now+firstLineWait, c.ch.Drop)
 		}
 	})
 }
 
+// Shed tells that a front is short of descriptors: of the channels that have asked for nothing, and those that
+// linger after their answer, the one that has been silent longest is dropped. Guards usual clients, dials and
+// probes against clients that open connections by hundreds and say nothing.
+func (m *Module) Shed() {
+	m.post(func() {
+		var longest *Call
+		for c := range m.open {
+			if c.traits.Descriptor && !c.dropped && (c.phase == accepted || c.phase == answered) &&
+				m.now-c.since >= shedAfter && (longest == nil || c.since < longest.since) {
+				longest = c
+			}
+		}
+		if longest != nil {
+			longest.dropped = true
+			m.counters.Shed++
+			longest.ch.Drop()
+		}
+	})
+}
+
 // Request tells what a channel asks for. Exactly one final answer follows while the channel stays open.
 func (m *Module) Request(c *Call, r Request) {
 	m.post(func() {
@@ -86,13 +113,11 @@
 // else, within patience; a server that is not listed is waited for as long.
 func (m *Module) Reopen(c *Call, r Request, server decide.ServerID, patience time.Duration) {
 	m.post(func() {
-		if c.phase != accepted {
+		if c.phase != accepted || !c.take(r) {
 			return
 		}
-		c.req, c.reopen, c.reopened, c.phase = r, server, true, pending
+		c.reopen, c.reopened = server, true
 		c.patience = m.now + patience
-		m.deadlines.drop(c.end)
-		m.waiting++
 		c.tryReopen()
 	})
 }
@@ -100,14 +125,11 @@
 // begin takes a request on, or answers it at once where there are too many.
 func (c *Call) begin(r Request) bool {
 	m := c.m
-	if c.phase != accepted {
+	if c.phase != accepted || !c.take(r) {
 		return false
 	}
-	m.deadlines.drop(c.end)
-	c.req, c.phase = r, pending
-	m.waiting++
 	// Guards the descriptors and the memory: past the bound nothing is dialled any more.
-	if m.waiting > m.cfg.MaxChannels || m.drainEnds() {
+	if m.waiting+m.standing > m.cfg.MaxChannels || m.drainEnds() {
 		c.refuse(busyRetry)
 		return false
 	}
@@ -116,6 +138,25 @@
 	return true
 }
 
+// take makes an accepted channel's request pending. One whose id is in use already is answered as failed.
+func (c *Call) take(r Request) bool {
+	m := c.m
+	m.deadlines.drop(c.end)
+	c.req, c.phase = r, pending
+	m.waiting++
+	if r.ID == "" {
+		return true
+	}
+	if _, taken := m.ids[r.ID]; taken {
+		// Guards the other request: an id is new with each channel, and room servers keep requests apart by it.
+		c.req.ID = ""
+		c.fail()
+		return false
+	}
+	m.ids[r.ID] = struct{}{}
+	return true
+}
+
 func (c *Call) remaining() time.Duration {
 	return clockStart + c.req.Deadline.Sub(c.m.epoch) - c.m.now
 }
@@ -182,6 +223,7 @@
 		c.stopClocks()
 		c.phase = standing
 		m.waiting--
+		m.standing++
 		c.server.open++
 		c.touched()
 		c.ch.Stand(n)
@@ -216,7 +258,8 @@
 	final := c.phase != pending
 	if c.phase == standing {
 		c.server.open--
-		c.phase = answered
+		c.phase, c.since = answered, m.now
+		m.standing--
 		m.dropGone(c.server)
 	}
 	if c.reopened && !final {
@@ -245,7 +288,7 @@
 		return false
 	}
 	m := c.m
-	c.phase = answered
+	c.phase, c.since = answered, m.now
 	m.waiting--
 	c.end = m.deadlines.set(m.now+c.traits.Linger, c.ch.Drop)
 	return true
@@ -280,16 +323,20 @@
 	}
 }
 
-// Malformed tells that a channel's first line is no request; it is answered as failed.
+// Malformed tells that a channel's first line is no request, or that more came before its answer; it is answered as
+// failed, and an attempt that is out is given up.
 func (m *Module) Malformed(c *Call) {
 	m.post(func() {
-		if c.phase != accepted {
-			return
+		if c.phase == accepted {
+			m.deadlines.drop(c.end)
+			c.phase = pending
+			m.waiting++
+		}
+		if c.phase == pending {
+			id := c.id
+			c.fail()
+			m.handle(decide.ClientGone{ID: id}) // the module did not answer it, and may hold it still
 		}
-		m.deadlines.drop(c.end)
-		c.phase = pending
-		m.waiting++
-		c.fail()
 	})
 }
 
@@ -376,7 +423,7 @@
 	m.post(func() {
 		m.deadlines.drop(c.end)
 		if c.phase == pending {
-			c.phase = answered
+			c.phase, c.since = answered, m.now
 			m.waiting--
 			m.counters.Left++
 			if m.calls[c.id] == c {
@@ -388,6 +435,10 @@
 			c.ended(c.n, decide.Cancelled, decide.NoReport)
 		}
 		c.stopClocks()
+		if id := c.req.ID; id != "" {
+			// What was sent while the request was open may still wait to be accepted.
+			m.deadlines.set(m.now+idMemory, func() { delete(m.ids, id) })
+		}
 		delete(m.open, c)
 		m.drained()
 	})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -78,6 +78,7 @@
 
 // Request is what a client asks for.
 type Request struct {
+	ID        string // the client's, one that no other request has; empty: it has none
 	Class     int
 	Key       string
 	Group     string
@@ -98,7 +99,8 @@
 type Config struct {
 	Settings decide.Settings
 	Known    []Instance // the room servers as this balancer last had them
-	// MaxChannels bounds the requests that wait for their answer; one past it is unavailable at once.
+	// MaxChannels bounds the requests that wait for their answer and the connections that stand, all of which hold
+	// a transport on either side; a request past it is unavailable at once.
 	MaxChannels int
 	Log         func(text string)
 }
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -14,7 +14,10 @@
 const (
 	clockStart = 24 * time.Hour // the host clock's reading at the start, so that earlier starts stay above 0
 
-	firstLineWait = 15 * time.Second       // a channel that has asked for nothing is dropped after this
+	firstLineWait = 2 * time.Second        // a channel that has asked for nothing is dropped after this,
+	pingApart     = time.Second            // unless it goes on showing that it lives, so far apart at least
+	shedAfter     = 10 * time.Millisecond  // a channel younger than this is not shed: its line is on its way
+	idMemory      = 10 * time.Second       // a request's id is not taken again for so long after its end
 	silenceWait   = 3 * time.Second        // a standing connection that brings nothing back is moved after this
 	lingerWait    = 500 * time.Millisecond // a side that does not close after the other is dropped after this
 	moveWait      = 900 * time.Millisecond // a moved client that takes nothing any more is dropped after this
@@ -53,6 +56,8 @@
 	watch       *listCall // the subscription
 	fetch       *listCall
 	waiting     int // requests that have no final answer and do not stand
+	standing    int
+	ids         map[string]struct{} // of requests that are open or ended lately
 	drain       *drain
 	counters    Counters
 	listAt      time.Duration
@@ -93,7 +98,7 @@
 		cfg: cfg, balancer: b, epoch: time.Now(),
 		inbox: make(chan func(), 1024), done: make(chan struct{}),
 		deadlines: newDeadlines(), open: map[*Call]struct{}{}, calls: map[decide.RequestID]*Call{},
-		subchannels: map[decide.ServerID]*subchannel{}, probes: map[uint64]*probe{},
+		subchannels: map[decide.ServerID]*subchannel{}, probes: map[uint64]*probe{}, ids: map[string]struct{}{},
 	}
 	m.now = clockStart
 	m.listAt = m.now
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -14,6 +14,7 @@
 	Reopened                uint64 // connections that were open before the start and stand again
 	Left                    uint64 // clients that left before their answer
 	Attempts, Moves, Probes uint64
+	Shed                    uint64 // channels dropped for their descriptor
 	Silent                  uint64 // standing connections whose server went silent
 	Lists                   uint64 // whole lists received
 }
--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -29,6 +29,8 @@
 	done   chan struct{} // closed when the actor ends
 	relay  chan *upstream
 
+	answered chan struct{} // closed with the final answer
+
 	first    firstLine
 	up       *upstream // the attempt that is out, or the server of a standing connection
 	stands   bool
@@ -74,6 +76,7 @@
 		line string
 		at   time.Time // when its last byte was here
 	}
+	newsEarly     struct{} // the client sent more before its answer
 	newsClientEnd struct{ err error }
 	newsDialled   struct {
 		up   *upstream
@@ -122,6 +125,7 @@
 func (c *channel) run(ctx context.Context) {
 	defer c.front.module.Closed(c.call)
 	defer c.closeUp(false)
+	defer c.front.free()
 	defer c.client.Close()
 	defer close(c.done)
 	c.front.readers.Go(c.readClient)
@@ -180,6 +184,10 @@
 	switch n := news.(type) {
 	case newsFirst:
 		c.begin(n.line, n.at)
+	case newsEarly:
+		if !c.stands {
+			c.front.module.Malformed(c.call)
+		}
 	case newsClientEnd:
 		return c.clientEnded(n.err)
 	case newsDialled:
@@ -200,7 +208,7 @@
 		return
 	}
 	c.first = first
-	r := core.Request{Class: first.class, Key: first.key, Group: first.group,
+	r := core.Request{ID: first.id, Class: first.class, Key: first.key, Group: first.group,
 		Deadline: at.Add(first.wait), Load: first.load, Returning: first.returning}
 	if first.at != "" {
 		c.front.module.Reopen(c.call, r, core.ServerID(first.at), reopenWithin)
@@ -222,22 +230,24 @@
 	up := &upstream{n: a.N, cancel: cancel, start: make(chan struct{}), answer: c.first.forward(a.Wait)}
 	c.up = up
 	c.front.readers.Go(func() {
-		conn, err := c.front.dialer.DialContext(ctx, "tcp", a.Server.Address)
+		err := c.front.roomToDial(ctx)
+		var conn net.Conn
+		if err == nil {
+			if conn, err = c.front.dialer.DialContext(ctx, "tcp", a.Server.Address); err != nil {
+				c.front.free()
+			}
+		}
 		select {
 		case c.news <- newsDialled{up, conn, err}:
 		case <-c.done:
-			if conn != nil {
-				conn.Close()
-			}
+			c.front.close(conn)
 		}
 	})
 }
 
 func (c *channel) dialled(n newsDialled) {
 	if n.up != c.up {
-		if n.conn != nil {
-			n.conn.Close()
-		}
+		c.front.close(n.conn)
 		return
 	}
 	if n.err != nil {
@@ -301,7 +311,7 @@
 		if reset {
 			c.up.conn.SetLinger(0)
 		}
-		c.up.conn.Close()
+		c.front.close(c.up.conn)
 	}
 	c.up = nil
 }
@@ -312,6 +322,7 @@
 	if err := c.text.PrintfLine("%s", line); err != nil {
 		return false
 	}
+	close(c.answered)
 	return c.client.CloseWrite() == nil
 }
 
@@ -329,40 +340,58 @@
 	return true
 }
 
+// pingsAtOnce is how many PINGs may come at a stroke: a health check waits for its answer.
+const pingsAtOnce = 8
+
+// discardMost bounds what is read and thrown away after a final answer. Reading lets the client take the answer
+// before a reset over unread bytes; a client that sends without end costs no more than this.
+const discardMost = 1 << 20
+
 // readClient reads the client's lines: PING, the first line, then all that follows once it stands.
 func (c *channel) readClient() {
-	for {
+	for pings := 0; ; {
 		line, err := readLine(c.text.R)
-		malformed := errors.Is(err, errLong) || errors.Is(err, errBare)
-		if malformed || err == nil && line != "PING" {
-			c.tell(newsFirst{line, time.Now()}) // a malformed one is empty here, and answered as failed
-			if malformed {
-				io.Copy(io.Discard, c.client) // the rest of it, until the core drops the channel
-				c.tell(newsClientEnd{io.EOF})
-				return
+		if err == nil && line == "PING" && pings < pingsAtOnce {
+			if pings++; c.text.R.Buffered() == 0 {
+				pings = 0
 			}
-			break
-		}
-		if err == nil {
 			err = c.text.PrintfLine("PONG")
 			c.front.module.Pinged(c.call)
+			if err == nil {
+				continue
+			}
 		}
-		if err != nil {
+		if err != nil && !errors.Is(err, errLong) && !errors.Is(err, errBare) {
 			c.tell(newsClientEnd{err})
 			return
 		}
+		if err != nil || c.text.R.Buffered() > 0 {
+			line = "" // malformed, or more came with it: no client's form
+		}
+		c.tell(newsFirst{line, time.Now()})
+		break
 	}
 	if _, err := c.text.R.Peek(1); err != nil {
 		c.tell(newsClientEnd{err})
 		return
 	}
+	c.tell(newsEarly{})
 	select {
 	case up := <-c.relay:
 		c.tell(newsClientEnd{c.relayUp(up)})
+	case <-c.answered:
+		c.discard()
 	case <-c.done:
 	}
 }
 
+// discard reads on after a final answer, up to a bound; the core drops the channel after a while.
+func (c *channel) discard() {
+	if _, err := io.CopyN(io.Discard, c.client, discardMost); err != nil {
+		c.tell(newsClientEnd{err})
+	}
+}
+
 // relayUp passes the client's bytes on, as they come, until one side ends; a server that takes nothing
 // holds the client back.
 func (c *channel) relayUp(up *upstream) error {
--- a/internal/line/first.go
+++ b/internal/line/first.go
@@ -20,12 +20,13 @@
 
 // firstLine is a client's first line, `OPEN ID KEY c=...,t=...,d=...`.
 type firstLine struct {
-	key, group string
-	class      int
-	wait       time.Duration // how long the client will wait, from when it sent the line
-	load       float64       // the guess at the load, in seconds of work a second; 0: none
-	returning  bool
-	at         string // the instance at which it was open before
+	id, key   string
+	group     string
+	class     int
+	wait      time.Duration // how long the client will wait, from when it sent the line
+	load      float64       // the guess at the load, in seconds of work a second; 0: none
+	returning bool
+	at        string // the instance at which it was open before
 
 	head, tail string // the line before and after the figure of d
 }
@@ -47,10 +48,10 @@
 	if len(parts) != 4 || parts[0] != "OPEN" {
 		return f, errors.New("first line: expected OPEN, an id, a key and a list")
 	}
-	if parts[1] == "" || parts[2] == "" {
-		return f, errors.New("first line: the id or the key is empty")
+	if !isID(parts[1]) || !isID(parts[2]) {
+		return f, errors.New("first line: the id or the key is not 16 hexadecimal digits")
 	}
-	f.key = parts[2]
+	f.id, f.key = parts[1], parts[2]
 	list := parts[3]
 	offset := len(line) - len(list)
 	seen := map[string]bool{}
@@ -77,6 +78,11 @@
 	return f, nil
 }
 
+// isID tells whether a text has the form that clients give their ids and keys.
+func isID(text string) bool {
+	return len(text) == 16 && strings.Trim(text, "0123456789abcdef") == ""
+}
+
 func (f *firstLine) field(name, value string, names Names) error {
 	switch name {
 	case "c":
--- a/internal/line/front.go
+++ b/internal/line/front.go
@@ -19,8 +19,16 @@
 
 var bufferFull = bufio.ErrBufferFull
 
-// acceptPause is the wait after a failed accept, for descriptors to come free.
-const acceptPause = 5 * time.Millisecond
+const (
+	acceptPause = 5 * time.Millisecond // the wait for a descriptor to come free, before it is looked at again
+	warnEvery   = time.Second          // guards the log against a warning for each accept that fails
+)
+
+// Budget is what the front may hold of the process's descriptors.
+type Budget struct {
+	Descriptors int // for channels and their dials together
+	DialSpare   int // of these, what channels leave to dials
+}
 
 // Front accepts the clients' channels.
 type Front struct {
@@ -28,13 +36,58 @@
 	names   Names
 	dialer  net.Dialer
 	log     *logrus.Logger
+	budget  Budget
+	held    chan struct{} // one for each descriptor that a channel or a dial holds
+	freed   chan struct{} // tells the accepting side that one came free
 	actors  sync.WaitGroup
 	readers sync.WaitGroup // the channels' readers and dials
 }
 
 // New returns a front for a module.
-func New(module *core.Module, names Names, log *logrus.Logger) *Front {
-	return &Front{module: module, names: names, log: log, dialer: net.Dialer{KeepAlive: -1}}
+func New(module *core.Module, names Names, budget Budget, log *logrus.Logger) *Front {
+	return &Front{module: module, names: names, log: log, dialer: net.Dialer{KeepAlive: -1}, budget: budget,
+		held: make(chan struct{}, budget.Descriptors), freed: make(chan struct{}, 1)}
+}
+
+// roomToAccept waits until a channel may be accepted. While there is no room, the core sheds what has been silent
+// longest; clients wait in the listener's backlog meanwhile.
+func (f *Front) roomToAccept(ctx context.Context) bool {
+	for len(f.held) >= f.budget.Descriptors-f.budget.DialSpare {
+		f.module.Shed()
+		select {
+		case <-ctx.Done():
+			return false
+		case <-f.freed:
+		case <-time.After(acceptPause):
+		}
+	}
+	f.held <- struct{}{} // there is room: dials are bounded by the channels that make them
+	return true
+}
+
+// roomToDial waits for a descriptor; channels leave enough for that to be short.
+func (f *Front) roomToDial(ctx context.Context) error {
+	select {
+	case f.held <- struct{}{}:
+		return nil
+	default:
+	}
+	f.module.Shed()
+	select {
+	case f.held <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// free gives a descriptor back.
+func (f *Front) free() {
+	<-f.held
+	select {
+	case f.freed <- struct{}{}:
+	default:
+	}
 }
 
 // Listen opens the clients' address.
@@ -52,17 +105,22 @@
 	defer stop()
 	defer f.readers.Wait()
 	defer f.actors.Wait()
-	for {
+	var warned time.Time
+	for f.roomToAccept(ctx) {
 		conn, err := l.AcceptTCP()
 		if err == nil {
 			f.accept(ctx, conn)
 			continue
 		}
+		f.free()
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return
 		}
 		// Guards against the end of the process by an accept that fails, for want of descriptors say.
-		f.log.WithError(err).Warn("accept failed")
+		if time.Since(warned) > warnEvery {
+			warned = time.Now()
+			f.log.WithError(err).Warn("accept failed")
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(acceptPause):
@@ -74,8 +132,16 @@
 	c := &channel{
 		front: f, client: conn, text: textproto.NewConn(conn),
 		orders: make(chan order, mailboxSize), news: make(chan any), done: make(chan struct{}),
-		relay: make(chan *upstream, 1),
+		relay: make(chan *upstream, 1), answered: make(chan struct{}),
 	}
-	c.call = f.module.Accept(c, core.Traits{})
+	c.call = f.module.Accept(c, core.Traits{Descriptor: true})
 	f.actors.Go(func() { c.run(ctx) })
 }
+
+// close ends a dial's connection, if there is one, and gives its descriptor back.
+func (f *Front) close(conn net.Conn) {
+	if conn != nil {
+		conn.Close()
+		f.free()
+	}
+}
--- a/internal/line/fuzz_test.go
+++ b/internal/line/fuzz_test.go
@@ -12,7 +12,7 @@
 // A first line that is taken goes on in a form that is taken again, with nothing but d changed.
 func FuzzFirstLine(f *testing.F) {
 	seedcorpus.Add(f, []byte("OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=solo-play,t=familles,d=2000,g=5c0f,h=12.5,again=1"),
-		[]byte("OPEN 9b1f k d=9,c=solo-play,at=s-5be2a07c"))
+		[]byte("OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 d=9,c=solo-play,at=s-5be2a07c"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		first, err := parseFirst(string(raw), testNames)
 		if err != nil {
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,6 +115,11 @@
 }
 
 func newBalancer(t *testing.T, servers ...*answerer) *balancer {
+	t.Helper()
+	return budgeted(t, Budget{Descriptors: 300, DialSpare: 50}, servers...)
+}
+
+func budgeted(t *testing.T, budget Budget, servers ...*answerer) *balancer {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -132,7 +138,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	front := New(module, testNames, log)
+	front := New(module, testNames, budget, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { module.Run(ctx, noProbes{}, noList{}) })
@@ -185,7 +191,12 @@
 	}
 }
 
-const open = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=solo-play,t=familles,d=2000,g=5c0f6e1a\r\n"
+var opened atomic.Uint64
+
+// opening is a client's first line with a new id.
+func opening() string {
+	return fmt.Sprintf("OPEN %016x 7f3a9c21e0b4d655 c=solo-play,t=familles,d=2000,g=5c0f6e1a\r\n", opened.Add(1))
+}
 
 func TestServedAndRelayedUnchanged(t *testing.T) {
 	t.Parallel()
@@ -193,6 +204,7 @@
 	c := newBalancer(t, s).client(t)
 	c.send("PING\r\n")
 	c.want("PONG\r\n")
+	open := opening()
 	c.send(open)
 	c.want("UP receipt-1\r\n")
 	c.send("hello\r\nbare\n")
@@ -210,25 +222,139 @@
 	t.Parallel()
 	s := newServer(t, "s-1", echo)
 	b := newBalancer(t, s)
-	for _, text := range []string{"\r\n", "HELLO\r\n", strings.Replace(open, "solo-play", "no-class", 1),
-		strings.Replace(open, "familles", "nobody", 1), strings.Replace(open, "d=2000", "d=-1", 1),
-		strings.Replace(open, ",d=2000", "", 1), strings.Replace(open, "\r\n", "\n", 1),
-		strings.Repeat("x", 3*maxLine) + "\r\n", "OPEN \x00 k c=solo-play,d=9\r\n"} {
+	for _, text := range []string{"\r\n", "HELLO\r\n", strings.Replace(opening(), "solo-play", "no-class", 1),
+		strings.Replace(opening(), "familles", "nobody", 1), strings.Replace(opening(), "d=2000", "d=-1", 1),
+		strings.Replace(opening(), ",d=2000", "", 1), strings.Replace(opening(), "\r\n", "\n", 1),
+		strings.Repeat("x", 3*maxLine) + "\r\n", "OPEN \x00 k c=solo-play,d=9\r\n",
+		strings.Replace(opening(), "7f3a9c21e0b4d655", "../key", 1), "OPEN 9b1f k c=solo-play,d=9\r\n",
+		opening() + opening(), strings.Repeat("PING\r\n", 300) + opening()} {
 		c := b.client(t)
 		c.send(text)
+		for range min(strings.Count(text, "PING"), pingsAtOnce) {
+			c.want("PONG\r\n")
+		}
 		c.want("ERR\r\n")
 	}
 	half := b.client(t)
 	half.send("OPEN 9b1f")
 	half.conn.Close()
 	c := b.client(t)
-	c.send(open)
+	c.send(opening())
 	c.want("UP receipt-1\r\n")
 	if n := len(s.lines()); n != 1 {
 		t.Errorf("%d lines reached the room server, want the good one", n)
 	}
 }
 
+// An id that is open, or was lately, is not taken again: the first request goes on, the other fails at once.
+func TestAnIDIsTakenOnce(t *testing.T) {
+	t.Parallel()
+	s := newServer(t, "s-1", echo)
+	b := newBalancer(t, s)
+	line := opening()
+	first := b.client(t)
+	first.send(line)
+	first.want("UP receipt-1\r\n")
+	copied := strings.Replace(line, "7f3a9c21e0b4d655", "0000000000000001", 1)
+	second := b.client(t)
+	second.send(copied)
+	second.want("ERR\r\n")
+	second.wantEnd()
+	first.send("x\r\n")
+	first.want("re x\r\n")
+	first.conn.Close()
+	third := b.client(t)
+	third.send(copied)
+	third.want("ERR\r\n")
+	if n := len(s.lines()); n != 1 {
+		t.Errorf("%d lines reached the room server, want the first", n)
+	}
+}
+
+// A client that sends more before its answer fails at once, and its attempt is given up.
+func TestMoreBeforeTheAnswer(t *testing.T) {
+	t.Parallel()
+	ended := make(chan struct{})
+	s := newServer(t, "s-1", func(conn net.Conn, r *bufio.Reader) {
+		hang(conn, r)
+		close(ended)
+	})
+	c := newBalancer(t, s).client(t)
+	c.send(opening())
+	for len(s.lines()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.send("more\r\n")
+	c.want("ERR\r\n")
+	c.wantEnd()
+	<-ended
+}
+
+// A line without end is answered and not read to its end: the answer arrives though the client sends on.
+func TestLineWithoutEnd(t *testing.T) {
+	t.Parallel()
+	c := newBalancer(t, newServer(t, "s-1", echo)).client(t)
+	go func() {
+		for chunk := strings.Repeat("x", 1<<16); ; {
+			if _, err := io.WriteString(c.conn, chunk); err != nil {
+				return
+			}
+		}
+	}()
+	c.want("ERR\r\n")
+	if line, err := c.r.ReadString('\n'); err == nil {
+		t.Errorf("read %q, want the end", line)
+	}
+}
+
+// A channel that says nothing, half a line, or PING once is closed well within 3 s; a health check that goes on stays.
+func TestSilentChannelsEnd(t *testing.T) {
+	t.Parallel()
+	b := newBalancer(t, newServer(t, "s-1", echo))
+	silent, half, once, check := b.client(t), b.client(t), b.client(t), b.client(t)
+	half.send("OPEN 9b1f03")
+	once.send("PING\r\n")
+	once.want("PONG\r\n")
+	for range 3 {
+		check.send("PING\r\n")
+		check.want("PONG\r\n")
+		time.Sleep(1200 * time.Millisecond)
+	}
+	for _, c := range []*client{silent, half, once} {
+		c.conn.SetDeadline(time.Now().Add(time.Millisecond)) // it has ended by now
+		c.wantEnd()
+	}
+	check.send(opening())
+	check.want("UP receipt-1\r\n")
+}
+
+// Channels that say nothing take no descriptor from those that ask: the longest silent are shed for them, and dials
+// find one. Guards against clients that open connections by hundreds.
+func TestSilentChannelsAreShed(t *testing.T) {
+	t.Parallel()
+	b := budgeted(t, Budget{Descriptors: 16, DialSpare: 4}, newServer(t, "s-1", echo))
+	standing := b.client(t)
+	standing.send(opening())
+	standing.want("UP receipt-1\r\n")
+	for range 60 {
+		b.client(t)
+	}
+	start := time.Now()
+	for range 4 {
+		c := b.client(t)
+		c.send(opening())
+		c.want("UP receipt-1\r\n")
+	}
+	if d := time.Since(start); d > firstLineMost {
+		t.Errorf("served after %v, when the silent ones had gone by themselves", d)
+	}
+	standing.send("x\r\n")
+	standing.want("re x\r\n")
+}
+
+// firstLineMost is less than a silent channel is let be.
+const firstLineMost = 1800 * time.Millisecond
+
 // Attempts go on to another server after each bad answer, and never overlap.
 func TestNextAttempt(t *testing.T) {
 	t.Parallel()
@@ -243,7 +369,7 @@
 			b := newBalancer(t, bad, good)
 			for range 3 {
 				c := b.client(t)
-				c.send(open)
+				c.send(opening())
 				c.want("UP receipt-1\r\n")
 			}
 			if n := len(bad.lines()); n == 0 {
@@ -259,7 +385,7 @@
 	s1, s2 := newServer(t, "s-1", say("BUSY\r\n")), newServer(t, "s-2", say("BUSY\r\n"))
 	b := newBalancer(t, s1, s2)
 	c := b.client(t)
-	c.send(strings.Replace(open, "d=2000", "d=1900", 1))
+	c.send(strings.Replace(opening(), "d=2000", "d=1900", 1))
 	line, err := c.r.ReadString('\n')
 	if err != nil || !strings.HasPrefix(line, "BUSY") {
 		t.Fatalf("read %q, %v", line, err)
@@ -273,7 +399,7 @@
 	b := newBalancer(t, s1, s2)
 	for i := range 4 {
 		c := b.client(t)
-		c.send(strings.Replace(open, "\r\n", ",at=s-2\r\n", 1))
+		c.send(strings.Replace(opening(), "\r\n", ",at=s-2\r\n", 1))
 		c.want("UP receipt-1\r\n")
 		c.send(fmt.Sprintf("%d\r\n", i))
 		c.want(fmt.Sprintf("re %d\r\n", i))
@@ -289,7 +415,7 @@
 	t.Run("server's FIN", func(t *testing.T) {
 		t.Parallel()
 		c := newBalancer(t, newServer(t, "s-1", say("UP r\r\nLOAD 5000\r\nBYE\r\n"))).client(t)
-		c.send(open)
+		c.send(opening())
 		c.want("UP r\r\n")
 		c.want("LOAD 5000\r\n")
 		c.want("BYE\r\n")
@@ -302,7 +428,7 @@
 			r.ReadString('\n')
 			conn.(*net.TCPConn).SetLinger(0)
 		})).client(t)
-		c.send(open)
+		c.send(opening())
 		c.want("UP r\r\n")
 		c.send("x\r\n")
 		if _, err := c.r.ReadString('\n'); err == nil || errors.Is(err, io.EOF) {
@@ -318,7 +444,7 @@
 				_, err := io.Copy(io.Discard, r)
 				ends <- err
 			})).client(t)
-			c.send(open)
+			c.send(opening())
 			c.want("UP r\r\n")
 			if reset {
 				c.conn.SetLinger(0)
@@ -339,7 +465,7 @@
 		io.Copy(io.Discard, r)
 	}))
 	c := b.client(t)
-	c.send(open)
+	c.send(opening())
 	c.want("UP r\r\n")
 	start := time.Now()
 	c.send("anyone?\r\n")
@@ -355,11 +481,11 @@
 	t.Parallel()
 	b := newBalancer(t, newServer(t, "s-1", echo))
 	old := b.client(t)
-	old.send(open)
+	old.send(opening())
 	old.want("UP receipt-1\r\n")
 	over := b.module.Drain(3400 * time.Millisecond)
 	late := b.client(t)
-	late.send(open)
+	late.send(opening())
 	late.want("UP receipt-1\r\n")
 	old.want("MOVE\r\n")
 	old.wantEnd()
@@ -389,13 +515,13 @@
 		sent <- n
 	}))
 	slow := b.client(t)
-	slow.send(open)
+	slow.send(opening())
 	slow.want("UP r\r\n")
 	if n := <-sent; n > 64<<10 {
 		t.Errorf("%d KiB were taken for a client that reads nothing", n)
 	}
 	other := b.client(t)
-	other.send(open)
+	other.send(opening())
 	other.want("UP r\r\n")
 	// Nor does it hold up a planned stop: the drain and all actors end.
 	select {
