Serve standing clients on in a planned stop and move them late, one by one

Cause: core/drain.go Drain moved all in one turn right after the grace, though SIGKILL comes 3.7 s after SIGTERM. Checked: the front stops dealing clients 0.2 to 0.4 s after SIGTERM, standing ones are served until they are moved. Ruled out: exiting early does not bring the process back sooner, the next start comes at a fixed time.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -287,6 +287,43 @@
 	}
 }
 
+// In a planned stop standing clients are served on for half of the budget, then moved one after the other.
+func TestDrainMovesLate(t *testing.T) {
+	t.Parallel()
+	const clients, budget = 8, 3 * time.Second
+	m := run(t, 100, instance("s-1"), instance("s-2"))
+	moved := make(chan time.Time, clients)
+	end := time.Now().Add(20 * time.Second)
+	for range clients {
+		ch := &fakeChannel{}
+		c := m.ask(ch, time.Second)
+		ch.wait(t, "attempt 0")
+		m.Up(c, 0)
+		go func() {
+			for !strings.HasSuffix(ch.orders(), "move") && time.Now().Before(end) {
+				time.Sleep(5 * time.Millisecond)
+			}
+			moved <- time.Now()
+			m.Ended(c, 0, decide.Cancelled, decide.NoReport)
+			m.Closed(c)
+		}()
+	}
+	start := time.Now()
+	over := m.Drain(budget)
+	first := <-moved
+	last := first
+	for range clients - 1 {
+		last = <-moved
+	}
+	if d := first.Sub(start); d < budget/2 {
+		t.Errorf("the first one was moved after %v of %v", d, budget)
+	}
+	if d := last.Sub(first); d < budget/20 {
+		t.Errorf("all were moved within %v", d)
+	}
+	<-over
+}
+
 // Draining leaves what the next process can go on with.
 func TestDrainLeavesTheResumable(t *testing.T) {
 	t.Parallel()
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -10,8 +10,11 @@
 )
 
 // drain is a planned stop: what arrives in the grace is served, all is answered, all standing clients are moved.
+// They are moved late, and one after the other: until then they are served as before, some end by themselves, and
+// the instances that take them over get them in turn. All at once, and at once, would leave every client of a
+// rolling restart without a balancer where the one that was restarted before is not back yet.
 type drain struct {
-	moving bool // standing clients are sent away, also those that stand from now on
+	moving bool // all are sent away, also those that stand from now on
 	ending bool // what comes now is refused at once
 	least  bool
 	done   chan struct{}
@@ -26,7 +29,16 @@
 			return
 		}
 		m.drain = &drain{done: done}
-		m.deadlines.set(m.now+drainGrace, func() {
+		last := max(budget-moveWait, drainGrace) // a client that takes nothing is dropped before the budget is over
+		first := min(budget/2, last)
+		m.deadlines.set(m.now+first, func() {
+			n, step := 0, (last-first)/time.Duration(max(len(m.open), 1))
+			for c := range m.open {
+				n++
+				m.deadlines.set(m.now+time.Duration(n)*step, c.sendAway)
+			}
+		})
+		m.deadlines.set(m.now+last, func() {
 			m.drain.moving = true
 			for c := range m.open {
 				c.sendAway()
