Keep groups together where the own zone has no ready server

Cause: decide.go pick: with no local server homes(local) is empty and inOrder(remote) ends the search; ask stops before the remote list unless the zone spills. Each server that holds any of a group pays for all of it. Change: cache() takes the others as the local list then; pool, probes, homes and asking follow. Checked by a test: 12 connections of one group went to 6 servers, now within its 3 homes. Ruled out: the restored list; it named the right servers.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -138,6 +138,9 @@
 			b.remote = append(b.remote, s)
 		}
 	}
+	if len(b.local) == 0 { // Guards a zone without a ready server: the others are its cache then, or each of
+		b.local, b.remote = b.remote, b.local // its groups would be strewn over all of them, unasked.
+	}
 	gone := func(s *server) bool { return s.State != Ready }
 	b.pool, b.away = slices.DeleteFunc(b.pool, gone), slices.DeleteFunc(b.away, gone)
 	b.retryWaiting()
@@ -293,24 +296,11 @@
 	return c.Scope == ScopeAll || s.Zone == r.ran.Zone && (c.Scope == ScopeZone || s.Cell == r.ran.Cell)
 }
 
-func (b *Balancer) classOf(r *request) *Class { return &b.set.Classes[r.Class] }
-
 // lightest is the pool's choice: the least load over capacity among its answers.
 func lightest(pool []*server, fit func(*server) bool) *server {
 	return least(pool, fit, func(s *server) float64 { return s.load })
 }
 
-// inOrder is the first fit server of a cached list, from where the last look ended.
-func (b *Balancer) inOrder(list []*server, fit func(*server) bool) *server {
-	for i := range list {
-		if s := list[(b.next+i)%len(list)]; fit(s) {
-			b.next += i + 1
-			return s
-		}
-	}
-	return nil
-}
-
 func (b *Balancer) grouped(r *request) bool { return b.set.Groups && r.Group != "" }
 
 // homes keeps a group together where connections of a group share work: it gives the servers of a list
@@ -486,7 +476,7 @@
 	if s.State != Ready {
 		return
 	}
-	if s.Zone == b.set.Zone {
+	if slices.Contains(b.local, s) {
 		b.pool = addAnswer(b.pool, s)
 		b.mean += (min(s.load, 1.5) - b.mean) / poolSize
 	} else {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -18,6 +18,31 @@
 	}
 }
 
+// A zone without a ready server keeps its groups together elsewhere, and asks there before it places.
+func TestGroupsWithoutALocalServer(t *testing.T) {
+	set := settings()
+	set.Groups, set.MayProbe = true, true
+	w := newWorld(t, set)
+	w.full(servers(0, 6))
+	used := map[ServerID]bool{}
+	for i := range 12 {
+		acts := w.send(Requested{ID: RequestID(name("r", i)), Class: safe, Group: "room", Remaining: 2 * time.Second})
+		for _, p := range find[Probe](acts) {
+			w.report(p.Server, 0.2)
+		}
+		if len(find[Place](acts)) == 0 {
+			w.now += askWait
+			acts = w.send(TimerFired{Token: timerHeld})
+		}
+		id := w.placed(acts)
+		used[id] = true
+		w.send(Established{ID: RequestID(name("r", i)), Server: id})
+	}
+	if len(used) > homeCount {
+		t.Errorf("one group went to %d servers, all with room", len(used))
+	}
+}
+
 func TestPoolPicksTheLightestFreshAnswer(t *testing.T) {
 	w := newWorld(t, settings())
 	w.full(servers(6, 0))
--- a/decide/state.go
+++ b/decide/state.go
@@ -69,7 +69,7 @@
 
 	servers             map[ServerID]*server
 	ready               []*server     // the ready servers of the last list, in this balancer's order
-	local, remote       []*server     // the cache: those of the own zone and of others
+	local, remote       []*server     // the cache: those of the own zone, where it has any, and the others
 	next                int           // rotates the cache order
 	pollAt              time.Duration // next poll
 	pollFails           int
@@ -211,6 +211,19 @@
 	return best
 }
 
+func (b *Balancer) classOf(r *request) *Class { return &b.set.Classes[r.Class] }
+
+// inOrder is the first fit server of a cached list, from where the last look ended.
+func (b *Balancer) inOrder(list []*server, fit func(*server) bool) *server {
+	for i := range list {
+		if s := list[(b.next+i)%len(list)]; fit(s) {
+			b.next += i + 1
+			return s
+		}
+	}
+	return nil
+}
+
 // holding is those of a list that hold connections of this balancer.
 func holding(list []*server) (some []*server) {
 	for _, s := range list {
