Probe servers short of room twice a second, book placements by their reports

Trace: the one server of a zone was probed every 2 s; between 2.1 and 4.4 s it went from 0.49 to 0.93 while five connections were placed there, it stood at 1.30 at 8.4 s before its next move at 8.6 s, and twelve clients back at once went to it on a report 0.4 s old. Cause: decide.go probe: the rate follows new connections only (probeLeast 0.5 a second in quiet times) and every second turn is another zone's; charge booked 0.017 a connection where the report showed 0.04 (state.go share). Checked: how long echoes of standing connections take, as a sign of slow messages: 15 to 140 us at any load, so they tell nothing (ruled out). Probing all servers more often costs its price everywhere, so only hot ones are.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,6 +20,8 @@
 	deadAfter    = 5 * time.Second         // the design's timeout: no server answers for so long
 	poolAge      = 10 * time.Second        // an older answer says nothing
 	askAfter     = 2 * time.Second         // a group's servers are asked again after this,
+	hotAge       = 500 * time.Millisecond  // so old a report of a server short of room is asked for again
+	usualLife    = 30 * time.Second        // a connection that stands counts as placed once in so long
 	askWait      = 60 * time.Millisecond   // and the request waits this long for their answers
 	slowFor      = 2 * time.Second         // a note of slow messages counts so long; it comes each second
 	moveSettle   = 2500 * time.Millisecond // a report may take so long to show what was moved
@@ -215,7 +217,7 @@
 	if s.uses >= poolUses || len(b.waiting) > 0 { // others hold requests too and rush to the room shown
 		b.unpool(s)
 	}
-	share := b.share(r)
+	share := b.share(r, s)
 	s.load += share
 	s.charged, s.chargedAt = s.unseen(b.now)+share, b.now
 	if b.cold(s) {
@@ -223,14 +225,6 @@
 	}
 }
 
-// share estimates what a connection adds to a server's load: the zone's mean load over the connections
-// that a server holds on average, were all balancers alike.
-func (b *Balancer) share(r *request) float64 {
-	peers := max(1, b.set.Balancers/max(len(b.set.Zones), 1)) // those that are taken to share the zone
-	held := float64(len(b.requests)*peers) / float64(max(len(b.local), 1))
-	return b.weight(r) * b.mean / max(held, 4)
-}
-
 // pick chooses a server for r, or nil when none may take it now.
 func (b *Balancer) pick(r *request) *server {
 	was := b.memories[r.Key] // none is kept for the empty key
@@ -473,6 +467,7 @@
 		return
 	}
 	s.load, s.at, s.uses = ev.Report.Load+s.unseen(b.now), b.now, 0
+	s.shows(ev.Report)
 	if s.State != Ready {
 		return
 	}
@@ -561,7 +556,8 @@
 	if !b.set.MayProbe || len(b.local) == 0 {
 		return
 	}
-	rate := max(probeLeast, b.rate*probeShare/cmp.Or(b.set.Prices.Probe, math.Inf(1)))
+	worth := max(b.rate, float64(len(b.requests))/usualLife.Seconds()) // in requests a second
+	rate := max(probeLeast, worth*probeShare/cmp.Or(b.set.Prices.Probe, math.Inf(1)))
 	away := b.remote
 	if !b.spilling() { // Guards against a server elsewhere whose overload nobody tells: those that hold own
 		away = holding(b.remote) // connections are looked at, or these would stay there.
@@ -570,6 +566,15 @@
 		s.asked = b.now // one that was never looked at comes ahead of the steady probes
 		b.do(Probe{Server: s.ID})
 	}
+	b.hotCredit = min(b.hotCredit+rate*tick.Seconds(), probeDebt)
+	for _, s := range append(holding(b.remote), b.local...) {
+		// Guards against overload that is found late: all that such a server holds is served badly meanwhile.
+		if s.load > roomy && b.now-max(s.at, s.asked) >= hotAge && b.hotCredit >= 1 {
+			s.asked = b.now
+			b.hotCredit--
+			b.do(Probe{Server: s.ID})
+		}
+	}
 	b.probeCredit = min(b.probeCredit+min(rate, float64(len(b.local)))*tick.Seconds(), poolSize)
 	for ; b.probeCredit >= 1; b.probeCredit-- {
 		if b.probeTurn++; b.probeTurn%2 == 0 && len(away) > 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -738,6 +738,51 @@
 	}
 }
 
+// A server short of room is probed again and again, ahead of the steady probes, others are not; by its price.
+func TestServersShortOfRoomAreProbed(t *testing.T) {
+	count := func(price float64) (hot, cool int) {
+		set := settings()
+		set.Prices.Probe, set.MayProbe = price, true
+		w := newWorld(t, set)
+		w.full(servers(6, 0))
+		for i := range 30 {
+			w.send(Opened{Request: Requested{ID: RequestID(name("o", i))}, Server: ServerID(i%6 + 1)})
+		}
+		for range 40 {
+			w.report(1, 0.9)
+			w.report(2, 0.3)
+			for _, p := range find[Probe](w.tick(3 * tick)) {
+				switch p.Server {
+				case 1:
+					hot++
+				case 2:
+					cool++
+				}
+			}
+		}
+		return hot, cool
+	}
+	if hot, cool := count(0.002); hot < 40 || cool > hot/2 {
+		t.Errorf("%d probes of the server short of room, %d of one with room", hot, cool)
+	}
+	if hot, _ := count(0.05); hot > 20 {
+		t.Errorf("%d probes of the server short of room at a high price", hot)
+	}
+}
+
+// A placement is booked with what one connection loads that server, as its report tells.
+func TestPlacementsAreBookedByTheReport(t *testing.T) {
+	w := newWorld(t, settings())
+	w.full(servers(1, 0))
+	w.send(Probed{Server: 1, Code: OK, Report: Report{Load: 0.4, Held: 8}})
+	for i := range 4 {
+		w.stand(name("r", i), safe)
+	}
+	if got := w.b.servers[1].load; got < 0.55 || got > 0.65 {
+		t.Errorf("load %.2f is booked after four placements, want 0.4 and four times 0.05", got)
+	}
+}
+
 // Guards against a server that serves badly all that it holds: the excess is moved off, by all alike.
 func TestRebalanceMovesTheExcess(t *testing.T) {
 	w := newWorld(t, settings())
--- a/decide/state.go
+++ b/decide/state.go
@@ -25,6 +25,7 @@
 	told        time.Duration // when it was reported draining or gone
 	load        float64       // latest probed load, plus own placements since
 	at          time.Duration // when that was probed; 0: never
+	each        float64       // load of one connection there, as a report showed it; 0: unknown
 	uses        int           // placements on that answer
 	asked       time.Duration // when it was last probed ahead of the steady probes, for a request
 	streak      int           // failures since the last success
@@ -81,6 +82,7 @@
 	probeNext           int           // rotates the probes of the own zone,
 	probeTurn           int           // and decides when it is another's turn
 	probeCredit         float64
+	hotCredit           float64 // probes ahead of the steady ones, for servers short of room
 	requests            map[RequestID]*request
 	bySeq               map[uint64]*request
 	seq                 uint64
@@ -167,6 +169,27 @@
 	s.State = state
 }
 
+// shareLeast is how many connections a report must show to tell the load of one.
+const shareLeast = 4
+
+// shows learns from a report what one connection loads the server with.
+func (s *server) shows(r Report) {
+	if r.Held >= shareLeast {
+		s.each = r.Load / r.Held
+	}
+}
+
+// share estimates what a connection adds to a server's load: what one does there as its report tells, else the
+// zone's mean load over the connections that a server holds on average, were all balancers alike.
+func (b *Balancer) share(r *request, s *server) float64 {
+	if s.each > 0 {
+		return b.weight(r) * s.each
+	}
+	peers := max(1, b.set.Balancers/max(len(b.set.Zones), 1)) // those that are taken to share the zone
+	held := float64(len(b.requests)*peers) / float64(max(len(b.local), 1))
+	return b.weight(r) * b.mean / max(held, 4)
+}
+
 // unseen is the charge that a report coming now may not show yet.
 func (s *server) unseen(now time.Duration) float64 {
 	if now-s.chargedAt > reportLag {
