Move connections off a server by its report, not by placements booked since

Trace: after a restart 37 clients came within 0.8 s; at 18.4 to 18.9 s 16 of the connections just placed were moved off four servers that reported 0.56, 0.60, 0.57 and 0.92. Cause: decide.go rebalance compared s.load, which holds every placement of the last 2 s on top of a report that shows most of them already; what came back found all servers 'over' and went to one that failed its requests.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -534,11 +534,13 @@
 // then the report gets time to show it.
 func (b *Balancer) rebalance() {
 	for _, s := range b.ready {
-		bad := s.load > moveLoad || b.now < s.slow && s.load > moveTarget
+		// By the report alone: it shows most of the placements booked since, and what it does not show may not be
+		// moved before it was ever too much.
+		bad := s.reported > moveLoad || b.now < s.slow && s.reported > moveTarget
 		if len(s.conns) > 0 && bad && b.fresh(s) && s.at > s.movedAt+moveSettle {
 			s.movedAt = b.now
 			for _, r := range s.conns {
-				if b.rng.Float64() > moveTarget/s.load {
+				if b.rng.Float64() > moveTarget/s.reported {
 					b.do(Move{ID: r.ID})
 				}
 			}
@@ -546,11 +548,6 @@
 	}
 }
 
-// spilling tells whether the own zone was short of room lately, so that other zones must be known too.
-func (b *Balancer) spilling() bool {
-	return b.spillAt > 0 && b.now-b.spillAt < spillFor || b.mean > roomy
-}
-
 // probe keeps the steady flow of probes, mostly over own-zone cached servers, as many as their price allows.
 func (b *Balancer) probe() {
 	if !b.set.MayProbe || len(b.local) == 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -738,6 +738,23 @@
 	}
 }
 
+// Placements that a report may not show yet are booked, but nothing is moved for them.
+func TestBookedPlacementsAreNotMoved(t *testing.T) {
+	w := newWorld(t, settings())
+	w.full(servers(1, 0))
+	w.send(Probed{Server: 1, Code: OK, Report: Report{Load: 0.3, Held: 4}})
+	for i := range 6 {
+		w.stand(name("r", i), safe)
+	}
+	w.send(Probed{Server: 1, Code: OK, Report: Report{Load: 0.7, Held: 10}})
+	if s := w.b.servers[1]; s.load < moveLoad {
+		t.Fatalf("load %.2f, want it booked above the limit", s.load)
+	}
+	if n := len(find[Move](w.tick(tick))); n > 0 {
+		t.Errorf("%d moved off a server that reports 0.7", n)
+	}
+}
+
 // A server short of room is probed again and again, ahead of the steady probes, others are not; by its price.
 func TestServersShortOfRoomAreProbed(t *testing.T) {
 	count := func(price float64) (hot, cool int) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -24,6 +24,7 @@
 	order       uint64        // place in this balancer's cache order
 	told        time.Duration // when it was reported draining or gone
 	load        float64       // latest probed load, plus own placements since
+	reported    float64       // that load without them
 	at          time.Duration // when that was probed; 0: never
 	each        float64       // load of one connection there, as a report showed it; 0: unknown
 	uses        int           // placements on that answer
@@ -172,13 +173,19 @@
 // shareLeast is how many connections a report must show to tell the load of one.
 const shareLeast = 4
 
-// shows learns from a report what one connection loads the server with.
+// shows keeps what a report tells: the load, and what one connection loads the server with.
 func (s *server) shows(r Report) {
+	s.reported = r.Load
 	if r.Held >= shareLeast {
 		s.each = r.Load / r.Held
 	}
 }
 
+// spilling tells whether the own zone was short of room lately, so that other zones must be known too.
+func (b *Balancer) spilling() bool {
+	return b.spillAt > 0 && b.now-b.spillAt < spillFor || b.mean > roomy
+}
+
 // share estimates what a connection adds to a server's load: what one does there as its report tells, else the
 // zone's mean load over the connections that a server holds on average, were all balancers alike.
 func (b *Balancer) share(r *request, s *server) float64 {
