--- a/decide/decide.go
+++ b/decide/decide.go
@@ -141,7 +141,7 @@
 		}
 	}
 	if len(b.local) == 0 { // Guards a zone without a ready server: the others are its cache then, or each of
-		b.local, b.remote = b.remote, b.local // its groups would be strewn over all of them, unasked.
+		b.local, b.remote = b.remote, b.local // its groups would be strewn over them, unasked.
 	}
 	gone := func(s *server) bool { return s.State != Ready }
 	b.pool, b.away = slices.DeleteFunc(b.pool, gone), slices.DeleteFunc(b.away, gone)
@@ -534,8 +534,7 @@
 // then the report gets time to show it.
 func (b *Balancer) rebalance() {
 	for _, s := range b.ready {
-		// By the report alone: it shows most of the placements booked since, and what it does not show may not be
-		// moved before it was ever too much.
+		// By the report alone: it shows most of the placements booked since, the rest may never be too much.
 		bad := s.reported > moveLoad || b.now < s.slow && s.reported > moveTarget
 		if len(s.conns) > 0 && bad && b.fresh(s) && s.at > s.movedAt+moveSettle {
 			s.movedAt = b.now
