Spill by reports and groups where all servers of the own zone are left out

Cause: decide.go pick took reports of other zones only when an own server had a fresh report or was over. Checked by a test: 12 connections of one group went to 8 servers, now within its 3 homes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -253,15 +253,20 @@
 	}
 	// Fresh answers that leave little room say more of the zone than a server of which nothing is known.
 	// Spillover: then, and only then, other zones get what a fresh answer there makes room for.
-	if best != nil || slices.ContainsFunc(b.pool, b.over) {
+	// So they do where no server of the zone is fit, as when its only one fails: guards against blind turns.
+	if best != nil || slices.ContainsFunc(b.pool, b.over) || !slices.ContainsFunc(b.local, fit) {
 		b.spillAt = b.now
 		better := func(s *server) bool { return room(s) && (best == nil || s.load < best.load-spillGap) }
-		return cmp.Or(first(b.homes(r, b.remote), better), lightest(b.away, better), best)
+		s := cmp.Or(first(b.homes(r, b.remote), better), lightest(b.away, better), best)
+		if s != nil || slices.ContainsFunc(b.pool, b.over) {
+			return s
+		}
 	}
 	// Where nothing is well, rather a doubtful server than none, but never one known to be full.
 	doubtful := func(s *server) bool { return !b.over(s) && b.allowed(r, s) }
 	for _, fit := range [2]func(*server) bool{fit, doubtful} {
-		if s := cmp.Or(b.inOrder(b.local, fit), b.inOrder(b.remote, fit)); s != nil {
+		away := cmp.Or(first(b.homes(r, b.remote), fit), b.inOrder(b.remote, fit))
+		if s := cmp.Or(b.inOrder(b.local, fit), away); s != nil {
 			return s
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -738,6 +738,35 @@
 	}
 }
 
+// Where the zone's only server fails, its clients go where reports of other zones show room, a group's together.
+func TestZoneWhoseServersFail(t *testing.T) {
+	set := groups()
+	w := newWorld(t, set)
+	w.full(servers(1, 8))
+	w.end("x", 0, 1, ServerError, false)
+	if w.now >= w.b.servers[1].ejected {
+		t.Fatal("the failing server is not left out")
+	}
+	used := map[ServerID]bool{}
+	for i := range 12 {
+		id := name("r", i)
+		acts := w.askGroup(id, "taxi-7")
+		for _, p := range find[Probe](acts) {
+			w.report(p.Server, 0.2)
+		}
+		if len(find[Place](acts)) == 0 {
+			w.now += askWait
+			acts = w.send(TimerFired{Token: timerHeld})
+		}
+		s := w.placed(acts)
+		used[s] = true
+		w.send(Established{ID: RequestID(id), Server: s})
+	}
+	if used[1] || len(used) > homeCount {
+		t.Errorf("a group went to %v", used)
+	}
+}
+
 // Placements that a report may not show yet are booked, but nothing is moved for them.
 func TestBookedPlacementsAreNotMoved(t *testing.T) {
 	w := newWorld(t, settings())
