--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -95,8 +95,11 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(out, "%s: %d classes, %d known room servers, %d requests may wait, quic %q, snmp %q\n",
-		cfg.Name, len(cfg.Settings.Classes), len(cfg.Known), cfg.MaxChannels, fronts.QUIC.Listen, fronts.SNMP.Listen)
+	_, err = fmt.Fprintf(out, `%s: %d classes, %d known room servers, quic %q, snmp %q
+descriptors: %d for channels and dials, %d of them for dials alone; %d requests and connections at once
+SIGHUP takes over: discovery, from the file before PROXY_DISCOVERY; every other key takes a restart
+`, cfg.Name, len(cfg.Settings.Classes), len(cfg.Known), fronts.QUIC.Listen, fronts.SNMP.Listen,
+		cfg.Descriptors, cfg.DialSpare, cfg.MaxChannels)
 	return err
 }
 
--- a/cmd/cottonplank/main_test.go
+++ b/cmd/cottonplank/main_test.go
@@ -57,7 +57,7 @@
 	t.Setenv("PROXY_CONFIG", path)
 	var out bytes.Buffer
 	if status := run([]string{"check", "-fronts", "../../deploy/fronts.json"}, &out, &out); status != 0 ||
-		!strings.Contains(out.String(), `quic "127.0.0.1:4433"`) {
+		!strings.Contains(out.String(), `quic "127.0.0.1:4433"`) || !strings.Contains(out.String(), "SIGHUP takes over: discovery") {
 		t.Errorf("status %d, output %q", status, out.String())
 	}
 }
