Answer PING, INFO, LAMEDUCK and REJOIN on a management address; drain on call

A trace of all calls showed LAMEDUCK, REJOIN, INFO and silent callers there and not one PING: the front asks it on the clients' port, where line/channel.go answered PONG whatever the state. Lines at fault: channel.go readClient, core/drain.go (final, on SIGTERM's budget), call.go (attempts counted when ordered).

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -16,6 +17,7 @@
 	"cottonplank/internal/config"
 	"cottonplank/internal/core"
 	"cottonplank/internal/line"
+	"cottonplank/internal/management"
 	"cottonplank/internal/quic"
 	"cottonplank/internal/resolver"
 	"cottonplank/internal/snmp"
@@ -95,10 +97,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(out, `%s: %d classes, %d known room servers, quic %q, snmp %q
+	_, err = fmt.Fprintf(out, `%s: %d classes, %d known room servers, management %q, quic %q, snmp %q
 descriptors: %d for channels and dials, %d of them for dials alone; %d requests and connections at once
 SIGHUP takes over: discovery, from the file before PROXY_DISCOVERY; every other key takes a restart
-`, cfg.Name, len(cfg.Settings.Classes), len(cfg.Known), fronts.QUIC.Listen, fronts.SNMP.Listen,
+`, cfg.Name, len(cfg.Settings.Classes), len(cfg.Known), cfg.Management, fronts.QUIC.Listen, fronts.SNMP.Listen,
 		cfg.Descriptors, cfg.DialSpare, cfg.MaxChannels)
 	return err
 }
@@ -120,6 +122,12 @@
 	if err != nil {
 		return err
 	}
+	var managementListener *net.TCPListener
+	if cfg.Management != "" {
+		if managementListener, err = management.Listen(cfg.Management); err != nil {
+			return err
+		}
+	}
 
 	var connectionIDs *quic.Front
 	if fronts.QUIC.Listen != "" {
@@ -149,6 +157,10 @@
 	running.Go(func() { list.Run(ctx) })
 	running.Go(func() { module.Run(ctx, prober, list); prober.Wait() })
 	running.Go(func() { front.Serve(ctx, listener) })
+	if managementListener != nil {
+		server := management.New(module, classNames(cfg), cfg.Callers, log)
+		running.Go(func() { server.Serve(ctx, managementListener) })
+	}
 	running.Go(func() { reloads(ctx, hangup, module.Rediscover, log) })
 	if connectionIDs != nil {
 		running.Go(func() { connectionIDs.Serve(ctx) })
@@ -206,6 +218,13 @@
 		Wait: cfg.Settings.Classes[q.Class].GiveUp, Idle: q.Idle, MaxFlows: q.MaxFlows}, module, log)
 }
 
+func classNames(cfg *config.Config) (all []string) {
+	for _, c := range cfg.Settings.Classes {
+		all = append(all, c.Name)
+	}
+	return all
+}
+
 func names(cfg *config.Config) line.Names {
 	n := line.Names{Classes: map[string]int{}, Tenants: map[string]bool{}}
 	for i, c := range cfg.Settings.Classes {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1181,3 +1181,21 @@
 		}
 	}
 }
+
+// What is told of the servers that are left out follows the ejection, and asking changes nothing.
+func TestAvoidsFollowsTheEjection(t *testing.T) {
+	w := newWorld(t, settings())
+	w.full(servers(4, 0))
+	s := w.placed(w.ask("r", safe))
+	if w.b.Avoids(s) || w.b.Avoids(99) {
+		t.Error("left out without a cause")
+	}
+	w.end("r", 0, s, ServerError, false)
+	if !w.b.Avoids(s) {
+		t.Error("a server that failed is not told as left out")
+	}
+	w.tick(ejectFirst + tick)
+	if w.b.Avoids(s) {
+		t.Error("still told as left out after its time")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -208,6 +208,12 @@
 // sign notes that some server answers.
 func (b *Balancer) sign() { b.lastSign, b.failing = b.now, false }
 
+// Avoids tells whether a server gets nothing new for now though it is ready. It looks only.
+func (b *Balancer) Avoids(id ServerID) bool {
+	s := b.servers[id]
+	return s != nil && b.now < s.ejected
+}
+
 // alive notes that a server answers.
 func (b *Balancer) alive(s *server) {
 	s.streak = 0
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,7 @@
 	spareSockets    = 40  // descriptors kept for probes, lists, listeners and the runtime
 	dialPart        = 8   // one part in so many of the others is kept for dials: no channel is accepted with it
 	leastSockets    = 128
+	manageSockets   = 24 // kept for the management address, where one is named
 	longestDeadline = 3 * time.Second
 	killAfter       = 700 * time.Millisecond // SIGKILL comes so long after the longest deadline
 	exitSpare       = 300 * time.Millisecond // kept of that for the exit itself
@@ -37,6 +38,7 @@
 type Config struct {
 	Name        string
 	Listen      string
+	Management  string // the second address; empty: off
 	Discovery   string
 	Settings    decide.Settings
 	Tenants     []string
@@ -47,6 +49,7 @@
 	Sockets     int
 	Descriptors int           // that channels and their dials may hold,
 	DialSpare   int           // of which channels leave so many to dials
+	Callers     int           // that may be connected to the management address
 	MaxChannels int           // requests that may wait and connections that may stand
 	StopBudget  time.Duration // from SIGTERM to the end
 }
@@ -55,6 +58,7 @@
 type file struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
+	Manage    string `json:"management"`
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"`
 	Limits    struct {
@@ -142,8 +146,8 @@
 	}
 	c := &Config{
 		Name: override(getenv("PROXY_NAME"), f.Name), Listen: override(getenv("PROXY_LISTEN"), f.Listen),
-		Discovery: override(getenv("PROXY_DISCOVERY"), f.Discovery),
-		Cores:     f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		Discovery: override(getenv("PROXY_DISCOVERY"), f.Discovery), Management: override(getenv("PROXY_MANAGEMENT"), f.Manage),
+		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 	}
 	if c.Name == "" {
 		return nil, errors.New("name: is missing")
@@ -153,6 +157,11 @@
 			return nil, fmt.Errorf("%s: %q is no address and port", a.key, a.value)
 		}
 	}
+	if c.Management != "" {
+		if _, err := netip.ParseAddrPort(c.Management); err != nil {
+			return nil, fmt.Errorf("management: %q is no address and port", c.Management)
+		}
+	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", f.Seed)
@@ -224,6 +233,10 @@
 // share makes one budget of the descriptors, less those that flows hold, one each.
 func (c *Config) share(flows int) {
 	c.Descriptors = c.Sockets - spareSockets - flows
+	if c.Management != "" {
+		c.Callers = manageSockets - 2 // its listener, and the caller that is let in before another is put out
+		c.Descriptors -= manageSockets
+	}
 	c.DialSpare = c.Descriptors / dialPart
 	c.MaxChannels = (c.Descriptors - c.DialSpare) / 2
 }
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -54,7 +54,7 @@
 
 // Accept tells that a channel is open; its first line is awaited.
 func (m *Module) Accept(ch Channel, t Traits) *Call {
-	c := &Call{m: m, ch: ch, traits: t, n: -1}
+	c := &Call{m: m, ch: ch, traits: t, n: -1, req: Request{Class: noClass}}
 	if c.traits.Linger == 0 {
 		c.traits.Linger = lingerWait
 	}
@@ -157,6 +157,17 @@
 	return true
 }
 
+// noClass stands for the class of a channel whose first line has not told one.
+const noClass = -1
+
+// counters are those of the request's class; nil where its first line told none.
+func (c *Call) counters() *ClassCounters {
+	if c.req.Class < 0 || c.req.Class >= len(c.m.classes) {
+		return nil
+	}
+	return &c.m.classes[c.req.Class]
+}
+
 func (c *Call) remaining() time.Duration {
 	return clockStart + c.req.Deadline.Sub(c.m.epoch) - c.m.now
 }
@@ -188,7 +199,6 @@
 	n := c.n
 	c.out, c.server, c.sent = true, s, m.now
 	s.attempts++
-	m.counters.Attempts++
 	c.wait = m.deadlines.set(m.now+wait, func() { c.giveUp(n, decide.TimedOut) })
 	if t := m.cfg.Settings.ConnectTimeout; t > 0 && t < wait {
 		c.connect = m.deadlines.set(m.now+t+connectSlack, func() { c.giveUp(n, decide.ConnectFailed) })
@@ -205,9 +215,13 @@
 	}
 }
 
-// Connected tells that an attempt's line is with a room server: its connect timeout runs no more.
+// Connected tells that an attempt's line is with a room server: its connect timeout runs no more. It counts from here
+// on, whatever became of the request meanwhile: the room server has it.
 func (m *Module) Connected(c *Call, n int) {
 	m.post(func() {
+		if k := c.counters(); k != nil {
+			k.Attempts++
+		}
 		if c.out && c.n == n {
 			m.deadlines.drop(c.connect)
 		}
@@ -227,6 +241,9 @@
 		c.server.open++
 		c.touched()
 		c.ch.Stand(n)
+		if k := c.counters(); k != nil {
+			k.Served++
+		}
 		if c.reopened {
 			m.counters.Reopened++
 			c.id, c.first = m.newID(), n
@@ -234,7 +251,6 @@
 			m.handle(decide.Opened{Request: decide.Requested{ID: c.id, Class: c.req.Class, Key: c.req.Key,
 				Group: c.req.Group, Load: c.req.Load, Returning: c.req.Returning}, Server: c.server.ID})
 		} else {
-			m.counters.Served++
 			m.handle(decide.Established{ID: c.id, Attempt: n, Server: c.server.ID, Took: m.now - c.sent})
 		}
 		if m.drain != nil && m.drain.moving {
@@ -309,7 +325,9 @@
 
 func (c *Call) refuse(retryAfter time.Duration) {
 	if c.settle() {
-		c.m.counters.Refused++
+		if k := c.counters(); k != nil {
+			k.Refused++
+		}
 		c.ch.Unavailable(retryAfter)
 		c.settled()
 	}
@@ -317,7 +335,11 @@
 
 func (c *Call) fail() {
 	if c.settle() {
-		c.m.counters.Failed++
+		if k := c.counters(); k != nil {
+			k.Failed++
+		} else {
+			c.m.counters.Malformed++
+		}
 		c.ch.Fail()
 		c.settled()
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,5 +102,7 @@
 	// MaxChannels bounds the requests that wait for their answer and the connections that stand, all of which hold
 	// a transport on either side; a request past it is unavailable at once.
 	MaxChannels int
-	Log         func(text string)
+	// AwaitList says that this process takes over from one that serves: it is ready once discovery has answered it.
+	AwaitList bool
+	Log       func(text string)
 }
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // Times of a planned stop, from its signal on.
 const (
@@ -9,67 +12,133 @@
 	drainLeast = 900 * time.Millisecond // it does not end sooner, for what comes late
 )
 
-// drain is a planned stop: what arrives in the grace is served, all is answered, all standing clients are moved.
-// They are moved late, and one after the other: until then they are served as before, some end by themselves, and
-// the instances that take them over get them in turn. All at once, and at once, would leave every client of a
+// Times of a lame duck, from the call on.
+const (
+	lameFirst = 500 * time.Millisecond  // the front still sends clients for a while after the first no
+	lameLast  = 2500 * time.Millisecond // all are moved by then, and those that take nothing dropped 0.9 s later
+)
+
+var errStopping = errors.New("stopping")
+
+// drain sends all clients away: in a planned stop, which is final, or as a lame duck, which may be called back. What
+// arrives at first is served, all is answered, all standing clients are moved, one after the other: the instances
+// that take them over get them in turn. A stop moves them late. All at once, and at once, would leave every client of a
 // rolling restart without a balancer where the one that was restarted before is not back yet.
 type drain struct {
+	final  bool
 	moving bool // all are sent away, also those that stand from now on
 	ending bool // what comes now is refused at once
 	least  bool
-	done   chan struct{}
+	done   chan struct{} // of a stop
 	closed bool
+	due    []*deadline // its steps, which a call back takes back
+}
+
+// step sets one step of the drain.
+func (m *Module) step(after time.Duration, do func()) {
+	m.drain.due = append(m.drain.due, m.deadlines.set(m.now+after, do))
+}
+
+// calledBack takes back what a lame duck still had to do.
+func (m *Module) calledBack() {
+	if m.drain != nil {
+		for _, d := range m.drain.due {
+			m.deadlines.drop(d)
+		}
+	}
+	m.drain = nil
+}
+
+// moveBetween paces the moves of what stands.
+func (m *Module) moveBetween(first, last time.Duration) {
+	m.step(first, func() {
+		n, pause := 0, (last-first)/time.Duration(max(len(m.open), 1))
+		for c := range m.open {
+			n++
+			m.step(time.Duration(n)*pause, c.sendAway)
+		}
+	})
+	m.step(last, func() {
+		m.drain.moving = true
+		for c := range m.open {
+			c.sendAway()
+		}
+	})
+}
+
+// refuseAll answers what waits and what comes from now on.
+func (m *Module) refuseAll() {
+	m.drain.ending = true
+	for c := range m.open {
+		c.refuse(busyRetry)
+	}
 }
 
 // Drain begins a planned stop that must be over within budget; the channel closes when it is.
 func (m *Module) Drain(budget time.Duration) <-chan struct{} {
 	done := make(chan struct{})
 	m.post(func() {
-		if m.drain != nil {
+		if m.drain != nil && m.drain.final {
 			return
 		}
-		m.drain = &drain{done: done}
+		m.calledBack() // a lame duck's steps: the stop has its own, and goes on from there
+		m.drain = &drain{final: true, done: done}
+		m.enter(Stopping)
 		last := max(budget-moveWait, drainGrace) // a client that takes nothing is dropped before the budget is over
-		first := min(budget/2, last)
-		m.deadlines.set(m.now+first, func() {
-			n, step := 0, (last-first)/time.Duration(max(len(m.open), 1))
-			for c := range m.open {
-				n++
-				m.deadlines.set(m.now+time.Duration(n)*step, c.sendAway)
-			}
-		})
-		m.deadlines.set(m.now+last, func() {
-			m.drain.moving = true
-			for c := range m.open {
-				c.sendAway()
-			}
-		})
-		m.deadlines.set(m.now+drainLeast, func() {
+		m.moveBetween(min(budget/2, last), last)
+		m.step(drainLeast, func() {
 			m.drain.least = true
 			m.drained()
 		})
-		m.deadlines.set(m.now+budget-drainSpare, func() {
-			m.drain.ending = true
-			for c := range m.open {
-				c.refuse(busyRetry)
-			}
-		})
-		m.deadlines.set(m.now+budget, m.drainOver)
+		m.step(budget-drainSpare, m.refuseAll)
+		m.step(budget, m.drainOver)
 	})
 	return done
 }
 
-// sendAway ends this process's part in a standing connection. One that the next process can go on with is
-// served until the end.
+// LameDuck sends all clients away while the process stays: new ones are served for a while, and refused once all are
+// moved. Called again, or in a stop, it changes nothing.
+func (m *Module) LameDuck(within time.Duration) error {
+	return m.await(within, func() {
+		if m.drain != nil {
+			return
+		}
+		m.drain = &drain{}
+		m.enter(LameDuck)
+		m.moveBetween(lameFirst, lameLast)
+		m.step(lameLast, m.refuseAll)
+	})
+}
+
+// Rejoin calls a lame duck back: whom it has not sent away yet stays. A stop is final.
+func (m *Module) Rejoin(within time.Duration) error {
+	var refused error
+	if err := m.await(within, func() {
+		switch {
+		case m.drain == nil:
+		case m.drain.final:
+			refused = errStopping
+		default:
+			m.calledBack()
+			m.enter(Serving)
+		}
+	}); err != nil {
+		return err
+	}
+	return refused
+}
+
+// sendAway ends this process's part in a standing connection. At a stop, one that the next process can go on with is
+// served until the end; a lame duck has no next process.
 func (c *Call) sendAway() {
-	if !c.traits.Resumable {
+	if !c.traits.Resumable || !c.m.drain.final {
 		c.move()
 	}
 }
 
 func (m *Module) drainEnds() bool { return m.drain != nil && m.drain.ending }
 
-// drained ends the drain early once no request waits and nothing stands.
+// drained ends the stop early once no request waits and nothing stands.
 func (m *Module) drained() {
 	if m.drain == nil || !m.drain.least {
 		return
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -27,7 +27,8 @@
 	watchWait     = 6 * time.Second        // a watch that brings not even empty lines hangs
 	reopenPause   = 250 * time.Millisecond // between dials for a connection that was open before the start
 	busyRetry     = time.Second            // told to clients past the bound on channels
-	snapshotEvery = time.Second
+	snapshotEvery = 250 * time.Millisecond
+	startWait     = 3 * time.Second // without an answer of discovery a successor serves from the list it has
 )
 
 // Module is the module's actor: it owns the decision module, the calls, the subchannels and all deadlines.
@@ -60,6 +61,8 @@
 	ids         map[string]struct{} // of requests that are open or ended lately
 	drain       *drain
 	counters    Counters
+	classes     []ClassCounters
+	service     Service
 	listAt      time.Duration
 
 	snapshot atomic.Pointer[Snapshot]
@@ -99,6 +102,7 @@
 		inbox: make(chan func(), 1024), done: make(chan struct{}),
 		deadlines: newDeadlines(), open: map[*Call]struct{}{}, calls: map[decide.RequestID]*Call{},
 		subchannels: map[decide.ServerID]*subchannel{}, probes: map[uint64]*probe{}, ids: map[string]struct{}{},
+		classes: make([]ClassCounters, len(cfg.Settings.Classes)),
 	}
 	m.now = clockStart
 	m.listAt = m.now
@@ -113,6 +117,12 @@
 	m.tick()
 	m.handle(decide.Started{})
 	m.resolved(Result{Kind: decide.ListRestored, Instances: m.cfg.Known})
+	if m.cfg.AwaitList {
+		m.askList() // at once: nobody waits for this process while another still serves
+		m.deadlines.set(m.now+startWait, m.started)
+	} else {
+		m.started()
+	}
 	m.publishLater()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -252,6 +262,15 @@
 	})
 }
 
+// askList asks discovery ahead of the decision module's own poll.
+func (m *Module) askList() {
+	if m.cfg.Settings.Subscribe {
+		m.subscribe()
+	} else {
+		m.fetchList()
+	}
+}
+
 func (m *Module) fetchList() {
 	if m.fetch != nil {
 		m.deadlines.drop(m.fetch.due)
@@ -315,6 +334,9 @@
 		lines = append(lines, line)
 	}
 	m.handle(decide.ListReceived{Kind: r.Kind, Servers: lines})
+	if r.Kind != decide.ListRestored {
+		m.started()
+	}
 }
 
 func (m *Module) setGone(s *subchannel) {
--- /dev/null
+++ b/internal/core/service.go
@@ -0,0 +1,67 @@
+package core
+
+import (
+	"errors"
+	"time"
+)
+
+var errBusy = errors.New("busy")
+
+// Service is what this process is ready for. The module's actor owns it; PING, the drains and the SNMP agent follow it.
+type Service uint8
+
+const (
+	Starting Service = iota // takes over from a process that serves, and has no fresh list yet
+	Serving
+	LameDuck // sends its clients away, until it is called back
+	Stopping // a planned stop: cannot be undone
+)
+
+func (s Service) String() string {
+	return [...]string{"starting", "serving", "lame duck", "stopping"}[s]
+}
+
+// Service tells the state as it is; it is published with each change, so that a full mailbox does not delay it.
+func (m *Module) Service() Service { return m.snapshot.Load().Service }
+
+// enter changes the state and shows it at once.
+func (m *Module) enter(s Service) {
+	m.service = s
+	m.cfg.Log("service state: " + s.String())
+	m.publish()
+}
+
+// started ends the start: discovery has answered, or does not.
+func (m *Module) started() {
+	if m.service == Starting {
+		m.enter(Serving)
+	}
+}
+
+// await has the module's actor run a turn and waits for it, but not longer than it is told. A turn that waits in
+// the mailbox by then still runs.
+func (m *Module) await(within time.Duration, turn func()) error {
+	ran := make(chan struct{})
+	late := time.After(within)
+	select {
+	case m.inbox <- func() { turn(); close(ran) }:
+	case <-m.done:
+		return errStopping
+	case <-late:
+		return errBusy
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-m.done:
+		return errStopping
+	case <-late:
+		return errBusy
+	}
+}
+
+// Fresh returns a snapshot of now, or the latest published one where the actor is busy for longer than within.
+func (m *Module) Fresh(within time.Duration) *Snapshot {
+	_ = m.await(within, m.publish)
+	return m.snapshot.Load()
+}
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -8,15 +8,21 @@
 	"cottonplank/decide"
 )
 
+// ClassCounters count what came of the requests of one class since the start.
+type ClassCounters struct {
+	Served, Refused, Failed uint64 // final answers; a connection that stands again counts as served
+	Attempts                uint64 // first lines that were written whole to a room server
+}
+
 // Counters count since the start.
 type Counters struct {
-	Served, Refused, Failed uint64 // final answers
-	Reopened                uint64 // connections that were open before the start and stand again
-	Left                    uint64 // clients that left before their answer
-	Attempts, Moves, Probes uint64
-	Shed                    uint64 // channels dropped for their descriptor
-	Silent                  uint64 // standing connections whose server went silent
-	Lists                   uint64 // whole lists received
+	Malformed     uint64 // first lines that name no class; answered as failed
+	Reopened      uint64 // connections that were open before the start and stand again
+	Left          uint64 // clients that left before their answer
+	Moves, Probes uint64
+	Shed          uint64 // channels dropped for their descriptor
+	Silent        uint64 // standing connections whose server went silent
+	Lists         uint64 // whole lists received
 }
 
 // SubchannelRow is one room server in a snapshot.
@@ -31,12 +37,18 @@
 
 // Snapshot is the module's state as it was when it was published; nobody changes it afterwards.
 type Snapshot struct {
+	ClassCounters // of all classes together
 	Counters
+	Classes     []ClassCounters // by class, as the settings order them
+	Service     Service
 	At          time.Time
 	Started     time.Time
 	ListAt      time.Time // when the list last changed or was confirmed
 	Open        int       // channels
 	Waiting     int       // requests without a final answer
+	Standing    int       // connections that stand
+	Listed      int       // room servers in the list
+	Avoided     int       // of these, the ones that get nothing new now
 	Subchannels []SubchannelRow
 }
 
@@ -49,9 +61,22 @@
 }
 
 func (m *Module) publish() {
-	s := &Snapshot{Counters: m.counters, At: m.wall(m.now), Started: m.epoch, ListAt: m.wall(m.listAt),
-		Open: len(m.open), Waiting: m.waiting}
+	s := &Snapshot{Counters: m.counters, Classes: slices.Clone(m.classes), Service: m.service, At: m.wall(m.now),
+		Started: m.epoch, ListAt: m.wall(m.listAt), Open: len(m.open), Waiting: m.waiting, Standing: m.standing}
+	for _, c := range m.classes {
+		s.Served += c.Served
+		s.Refused += c.Refused
+		s.Failed += c.Failed
+		s.Attempts += c.Attempts
+	}
+	s.Failed += s.Malformed
 	for _, sub := range m.subchannels {
+		if sub.state != decide.Gone {
+			s.Listed++
+			if sub.state == decide.Draining || m.balancer.Avoids(sub.ID) {
+				s.Avoided++
+			}
+		}
 		if sub.state != decide.Gone || sub.open > 0 {
 			s.Subchannels = append(s.Subchannels, SubchannelRow{sub.Subchannel, sub.zone, sub.state, sub.open,
 				sub.attempts, sub.load})
--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -263,7 +263,7 @@
 	}
 	c.front.module.Connected(c.call, up.n)
 	c.front.readers.Go(func() {
-		line, err := readLine(up.text.R)
+		line, err := ReadLine(up.text.R)
 		c.tell(newsReply{up, line, err})
 		select {
 		case <-up.start:
@@ -277,7 +277,7 @@
 	if n.up != c.up {
 		return
 	}
-	if errors.Is(n.err, errLong) || errors.Is(n.err, errBare) {
+	if errors.Is(n.err, errLong) || errors.Is(n.err, ErrBare) {
 		c.endAttempt(decide.ServerError, decide.NoReport)
 		return
 	}
@@ -350,18 +350,18 @@
 // readClient reads the client's lines: PING, the first line, then all that follows once it stands.
 func (c *channel) readClient() {
 	for pings := 0; ; {
-		line, err := readLine(c.text.R)
+		line, err := ReadLine(c.text.R)
 		if err == nil && line == "PING" && pings < pingsAtOnce {
 			if pings++; c.text.R.Buffered() == 0 {
 				pings = 0
 			}
-			err = c.text.PrintfLine("PONG")
+			err = c.text.PrintfLine("%s", c.front.pong())
 			c.front.module.Pinged(c.call)
 			if err == nil {
 				continue
 			}
 		}
-		if err != nil && !errors.Is(err, errLong) && !errors.Is(err, errBare) {
+		if err != nil && !errors.Is(err, errLong) && !errors.Is(err, ErrBare) {
 			c.tell(newsClientEnd{err})
 			return
 		}
--- a/internal/line/front.go
+++ b/internal/line/front.go
@@ -81,6 +81,14 @@
 	}
 }
 
+// pong answers the front layer's PING. Once clients are to go elsewhere the answer is any other than PONG.
+func (f *Front) pong() string {
+	if s := f.module.Service(); s == core.LameDuck || s == core.Stopping {
+		return "BUSY"
+	}
+	return "PONG"
+}
+
 // free gives a descriptor back.
 func (f *Front) free() {
 	<-f.held
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -500,6 +500,58 @@
 	}
 }
 
+// A lame duck: the front's PING hears no at once, on a connection that it keeps too; clients that still come are served,
+// all are moved well before 4 s, later ones are told to come again, and nothing is cut off. Called back, it serves.
+// Guards against an instance that still says yes, or holds a connection, when its clients are to be elsewhere.
+func TestLameDuck(t *testing.T) {
+	t.Parallel()
+	b := newBalancer(t, newServer(t, "s-1", echo))
+	check := b.client(t)
+	check.send("PING\r\n")
+	check.want("PONG\r\n")
+	var standing []*client
+	open := func() {
+		c := b.client(t)
+		c.send(opening())
+		c.want("UP receipt-1\r\n")
+		standing = append(standing, c)
+	}
+	for range 5 {
+		open()
+	}
+	start := time.Now()
+	if err := b.module.LameDuck(10 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	check.send("PING\r\n")
+	check.want("BUSY\r\n")
+	if s := b.module.Service(); s != core.LameDuck {
+		t.Errorf("the service state is %v", s)
+	}
+	open()
+	for _, c := range standing {
+		c.want("MOVE\r\n")
+		c.wantEnd()
+		c.conn.Close()
+	}
+	late := b.client(t)
+	late.send(opening())
+	if line, err := late.r.ReadString('\n'); err != nil || !strings.HasPrefix(line, "BUSY ") {
+		t.Errorf("a late client reads %q, %v", line, err)
+	}
+	if d := time.Since(start); d > 4*time.Second {
+		t.Errorf("all are moved after %v", d)
+	}
+	if err := b.module.Rejoin(10 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	again := b.client(t)
+	again.send("PING\r\n")
+	again.want("PONG\r\n")
+	again.send(opening())
+	again.want("UP receipt-1\r\n")
+}
+
 // A client that reads nothing holds its server back and harms nobody else.
 func TestBackpressure(t *testing.T) {
 	t.Parallel()
--- a/internal/line/reply.go
+++ b/internal/line/reply.go
@@ -12,12 +12,13 @@
 // Lines that break the protocol's form.
 var (
 	errLong = errors.New("line is longer than 4 KiB")
-	errBare = errors.New("line does not end with CRLF")
+	// ErrBare comes with the line's text: not all that read lines insist on the carriage return.
+	ErrBare = errors.New("line does not end with CRLF")
 )
 
-// readLine reads one line without its end. textproto's ReadLine has no bound; the reader's buffer, which
+// ReadLine reads one line without its end. textproto's ReadLine has no bound; the reader's buffer, which
 // textproto.NewConn makes 4 KiB, is the bound here.
-func readLine(r *bufio.Reader) (string, error) {
+func ReadLine(r *bufio.Reader) (string, error) {
 	raw, err := r.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
 		return "", errLong
@@ -27,7 +28,7 @@
 	}
 	text, ok := strings.CutSuffix(string(raw), "\r\n")
 	if !ok {
-		return "", errBare
+		return strings.TrimSuffix(text, "\n"), ErrBare
 	}
 	return text, nil
 }
--- a/internal/line/subchannel.go
+++ b/internal/line/subchannel.go
@@ -118,7 +118,7 @@
 	if err := s.text.PrintfLine("STATS"); err != nil {
 		return "", err
 	}
-	return readLine(s.text.R)
+	return ReadLine(s.text.R)
 }
 
 func (s *subchannel) close() {
--- /dev/null
+++ b/internal/management/management_test.go
@@ -0,0 +1,136 @@
+package management
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cottonplank/decide"
+	"cottonplank/internal/core"
+	"cottonplank/internal/seedcorpus"
+
+	"github.com/sirupsen/logrus"
+)
+
+type nothing struct{}
+
+func (nothing) Probe(context.Context, uint64, core.Subchannel) {}
+func (nothing) Forget(decide.ServerID)                         {}
+func (nothing) Subscribe(context.Context)                      {}
+func (nothing) FetchList(context.Context)                      {}
+func (nothing) Move(string)                                    {}
+
+// start returns the address of a server that holds most callers.
+func start(t *testing.T, most int) string {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	module, err := core.New(core.Config{MaxChannels: 9, Log: func(string) {}, Settings: decide.Settings{Zone: "a",
+		Classes: []decide.Class{{Name: "solo-play", Aim: time.Second}, {Name: "team-play", Aim: time.Second}}},
+		Known: []core.Instance{{Name: "s-1", Server: decide.Server{ID: 1, Zone: "a", State: decide.Draining}},
+			{Name: "s-2", Server: decide.Server{ID: 2, Zone: "a"}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { module.Run(ctx, nothing{}, nothing{}) })
+	server := New(module, []string{"solo-play", "team-play"}, most, log)
+	running.Go(func() { server.Serve(ctx, l) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	module.Resolved(core.Result{Kind: decide.ListChanges})
+	module.Fresh(10 * time.Second)
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(20 * time.Second)) // so that no test hangs
+	return conn
+}
+
+// ask makes one call and reads all that comes.
+func ask(t *testing.T, address, call string) string {
+	t.Helper()
+	conn := dial(t, address)
+	io.WriteString(conn, call)
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatalf("%q: %v", call, err)
+	}
+	return string(answer)
+}
+
+func TestCalls(t *testing.T) {
+	t.Parallel()
+	address := start(t, 20)
+	for _, v := range []struct{ call, want string }{
+		{"PING\r\n", "200"}, {"PING\n", "200"}, {"REJOIN\r\n", "200"}, {"LAMEDUCK\r\n", "200"}, {"LAMEDUCK\r\n", "200"},
+		{"PING\r\n", "400"}, {"REJOIN\r\n", "200"}, {"PING\r\n", "200"}, {"ping\r\n", "400"}, {"PING x\r\n", "400"},
+		{"\r\n", "400"}, {"DANCE\r\n", "400"}, {strings.Repeat("x", 5000) + "\r\n", "400"},
+	} {
+		got := ask(t, address, v.call)
+		if !strings.HasPrefix(got, v.want+" ") || strings.Count(got, "\r\n") != 1 || !strings.HasSuffix(got, "\r\n") {
+			t.Errorf("%.20q brings %q, want one line with %s", v.call, got, v.want)
+		}
+	}
+	const want = "200 figures\r\nsvc.fulfilled.solo-play=0\r\nsvc.throttled.solo-play=0\r\nsvc.faulted.solo-play=0\r\n" +
+		"svc.relayed.solo-play=0\r\nsvc.fulfilled.team-play=0\r\nsvc.throttled.team-play=0\r\nsvc.faulted.team-play=0\r\n" +
+		"svc.relayed.team-play=0\r\nsvc.open_requests=0\r\nsvc.registry_entries=2\r\nsvc.out_of_rotation=1\r\nEOF\r\n"
+	if got := ask(t, address, "INFO\r\n"); got != want {
+		t.Errorf("INFO brings %q, want %q", got, want)
+	}
+}
+
+// Callers that send nothing, or half a call, hold up nobody, however many they are, and are put out.
+func TestSilentCallers(t *testing.T) {
+	t.Parallel()
+	address := start(t, 3)
+	var silent []net.Conn
+	for i := range 12 {
+		conn := dial(t, address)
+		if i%2 == 0 {
+			io.WriteString(conn, "PIN")
+		}
+		silent = append(silent, conn)
+		if got := ask(t, address, "PING\r\n"); !strings.HasPrefix(got, "200") {
+			t.Fatalf("PING brings %q", got)
+		}
+	}
+	for _, conn := range silent {
+		for r := bufio.NewReader(conn); ; {
+			if _, err := r.ReadString('\n'); err != nil {
+				if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+					t.Error("a silent caller is not put out")
+				}
+				break
+			}
+		}
+	}
+}
+
+// What is taken as a call is one of the four, to the letter.
+func FuzzParseCall(f *testing.F) {
+	seedcorpus.Add(f, []byte("PING"), []byte("INFO"), []byte("LAMEDUCK"), []byte("REJOIN"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		c, err := parseCall(string(raw))
+		if known := strings.Contains(" PING INFO LAMEDUCK REJOIN ", " "+string(raw)+" ") && !strings.Contains(string(raw), " ") &&
+			len(raw) > 0; known != (err == nil) || err == nil && string(c) != string(raw) {
+			t.Errorf("%q is taken as %q, %v", raw, c, err)
+		}
+	})
+}
