Hand the listening sockets to a new version over a Unix socket

Ruled out: limits (62 of 384 descriptors, 4 of 64 MB for both together). Lines at fault: line.Listen, quic.New, snmp.New (each bound its own), core/drain.go drained (left out first lines on their way).

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -16,6 +16,7 @@
 
 	"cottonplank/internal/config"
 	"cottonplank/internal/core"
+	"cottonplank/internal/handover"
 	"cottonplank/internal/line"
 	"cottonplank/internal/management"
 	"cottonplank/internal/quic"
@@ -113,15 +114,25 @@
 	cfg.Apply()
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
+	path := handover.Path(os.TempDir(), cfg.Listen)
+	sockets, predecessor := handover.Take(path, log)
+	cfg.Share(predecessor != nil).Apply()
 	module, err := core.New(core.Config{Settings: cfg.Settings, Known: cfg.Known, MaxChannels: cfg.MaxChannels,
-		Log: func(text string) { log.Info(text) }})
+		AwaitList: predecessor != nil, Log: func(text string) { log.Info(text) }})
 	if err != nil {
 		return err
 	}
-	listener, err := line.Listen(cfg.Listen)
+	listener, err := sockets.ListenTCP("clients", cfg.Listen)
 	if err != nil {
 		return err
 	}
+	clients := handover.NewPause(listener.SetDeadline)
+	var datagrams []*handover.Pause
+	pauseUDP := func(conn *net.UDPConn) *handover.Pause {
+		p := handover.NewPause(conn.SetReadDeadline)
+		datagrams = append(datagrams, p)
+		return p
+	}
 	var managementListener *net.TCPListener
 	if cfg.Management != "" {
 		if managementListener, err = management.Listen(cfg.Management); err != nil {
@@ -130,16 +141,25 @@
 	}
 
 	var connectionIDs *quic.Front
+	var connectionIDsPause, agentPause *handover.Pause
 	if fronts.QUIC.Listen != "" {
-		if connectionIDs, err = quicFront(cfg, fronts.QUIC, module, log); err != nil {
+		conn, err := sockets.ListenUDP("quic", fronts.QUIC.Listen)
+		if err != nil {
 			return err
 		}
+		if connectionIDs, err = quicFront(cfg, fronts.QUIC, conn, module, log); err != nil {
+			return err
+		}
+		connectionIDsPause = pauseUDP(conn)
 	}
 	var agent *snmp.Agent
 	if fronts.SNMP.Listen != "" {
-		if agent, err = snmp.New(fronts.SNMP.Listen, fronts.SNMP.Community, cfg.Name, module.Snapshot, log); err != nil {
+		conn, err := sockets.ListenUDP("snmp", fronts.SNMP.Listen)
+		if err != nil {
 			return err
 		}
+		agent = snmp.New(conn, fronts.SNMP.Community, cfg.Name, module.Snapshot, log)
+		agentPause = pauseUDP(conn)
 	}
 
 	// Caught until the process ends, also in a planned stop: uncaught, SIGHUP would end it.
@@ -156,22 +176,27 @@
 	var running sync.WaitGroup
 	running.Go(func() { list.Run(ctx) })
 	running.Go(func() { module.Run(ctx, prober, list); prober.Wait() })
-	running.Go(func() { front.Serve(ctx, listener) })
+	next := newSuccession(cfg, module, front, clients, datagrams, predecessor)
+	offer := handover.NewOffer(path, sockets, next.successors, log)
+	running.Go(func() { next.run(ctx) })
+	running.Go(func() { next.begin(ctx, predecessor, func() { offer.Serve(ctx) }) })
+	running.Go(func() { front.Serve(ctx, listener, clients) })
 	if managementListener != nil {
 		server := management.New(module, classNames(cfg), cfg.Callers, log)
 		running.Go(func() { server.Serve(ctx, managementListener) })
 	}
 	running.Go(func() { reloads(ctx, hangup, module.Rediscover, log) })
 	if connectionIDs != nil {
-		running.Go(func() { connectionIDs.Serve(ctx) })
+		running.Go(func() { connectionIDs.Serve(ctx, connectionIDsPause) })
 	}
 	if agent != nil {
-		running.Go(func() { agent.Serve(ctx) })
+		running.Go(func() { agent.Serve(ctx, agentPause) })
 	}
 	log.WithFields(logrus.Fields{"name": cfg.Name, "listen": cfg.Listen, "known": len(cfg.Known)}).Info("serving")
 
 	<-stop.Done()
 	log.Info("stopping: answering what is here and moving what stands")
+	next.stop()
 	<-module.Drain(cfg.StopBudget)
 	s := module.Snapshot()
 	log.WithFields(logrus.Fields{"served": s.Served, "refused": s.Refused, "failed": s.Failed, "left": s.Left,
@@ -209,13 +234,13 @@
 	}
 }
 
-func quicFront(cfg *config.Config, q config.QUIC, module *core.Module, log *logrus.Logger) (*quic.Front, error) {
+func quicFront(cfg *config.Config, q config.QUIC, conn *net.UDPConn, module *core.Module, log *logrus.Logger) (*quic.Front, error) {
 	ids, err := quic.NewIDFormat(q.ConfigID, q.NonceLen, q.IDKey)
 	if err != nil {
 		return nil, fmt.Errorf("quic front: %w", err)
 	}
-	return quic.New(quic.Config{Listen: q.Listen, IDs: ids, ResetKey: q.ResetKey, Class: q.Class,
-		Wait: cfg.Settings.Classes[q.Class].GiveUp, Idle: q.Idle, MaxFlows: q.MaxFlows}, module, log)
+	return quic.New(quic.Config{Conn: conn, IDs: ids, ResetKey: q.ResetKey, Class: q.Class,
+		Wait: cfg.Settings.Classes[q.Class].GiveUp, Idle: q.Idle, MaxFlows: q.MaxFlows}, module, log), nil
 }
 
 func classNames(cfg *config.Config) (all []string) {
--- /dev/null
+++ b/cmd/cottonplank/succession.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+
+	"cottonplank/internal/config"
+	"cottonplank/internal/core"
+	"cottonplank/internal/handover"
+	"cottonplank/internal/line"
+)
+
+// succession is the actor that owns what this process leaves to the one before it, or to the one after it: who
+// accepts, who reads datagrams, and how much of the limits each works on.
+type succession struct {
+	cfg       *config.Config
+	module    *core.Module
+	front     *line.Front
+	clients   *handover.Pause
+	datagrams []*handover.Pause
+	turns     chan func()
+	done      chan struct{}
+
+	// Owned by run's goroutine.
+	before   bool // a predecessor lives
+	waiting  bool // it serves while this process gets ready
+	after    handover.Successors
+	stopping bool
+	accepts  bool
+	reads    bool
+}
+
+// newSuccession returns the actor of a process that accepts nothing yet where it has a predecessor.
+func newSuccession(cfg *config.Config, module *core.Module, front *line.Front, clients *handover.Pause,
+	datagrams []*handover.Pause, predecessor *handover.Predecessor) *succession {
+	s := &succession{cfg: cfg, module: module, front: front, clients: clients, datagrams: datagrams,
+		turns: make(chan func()), done: make(chan struct{}), accepts: true, reads: true}
+	if predecessor != nil {
+		s.before, s.waiting, s.accepts, s.reads = true, true, false, false
+		for _, p := range append(datagrams, clients) {
+			p.Hold()
+		}
+	}
+	return s
+}
+
+// run is the actor.
+func (s *succession) run(ctx context.Context) {
+	defer close(s.done)
+	if s.before {
+		s.apply()
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case turn := <-s.turns:
+			turn()
+			s.apply()
+		}
+	}
+}
+
+func (s *succession) turn(do func()) {
+	select {
+	case s.turns <- do:
+	case <-s.done:
+	}
+}
+
+// begin waits until this process serves, and then offers its sockets in its turn.
+func (s *succession) begin(ctx context.Context, predecessor *handover.Predecessor, offer func()) {
+	if predecessor == nil {
+		offer()
+		return
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-predecessor.Gone:
+		s.module.Begin() // nobody else serves: at once, with the list as last known
+	case <-s.module.Ready():
+	}
+	s.turn(func() { s.waiting = false })
+	predecessor.Serving()
+	go func() { // ends with the predecessor, or with the process
+		<-predecessor.Gone
+		s.turn(func() { s.before = false })
+	}()
+	offer()
+}
+
+// successors tells who has taken the sockets.
+func (s *succession) successors(n handover.Successors) { s.turn(func() { s.after = n }) }
+
+// stop begins a planned stop: where another process accepts from the same queue, this one accepts nothing more.
+func (s *succession) stop() { s.turn(func() { s.stopping = true }) }
+
+// apply brings about what the state asks for.
+func (s *succession) apply() {
+	share := s.cfg.Share(s.before || s.after.Connected > 0)
+	share.Apply()
+	s.front.Reserve(share.Reserved)
+	s.module.Bound(share.MaxChannels)
+	s.front.Succeeded(s.after.Serving > 0)
+	if accepts := !s.waiting && !(s.stopping && s.after.Serving > 0); accepts != s.accepts {
+		s.accepts = accepts
+		set(accepts, s.clients)
+	}
+	// Guards QUIC's connections: datagrams that two processes read are strewn over both.
+	if reads := !s.waiting && s.after.Serving == 0; reads != s.reads {
+		s.reads = reads
+		set(reads, s.datagrams...)
+	}
+}
+
+func set(on bool, pauses ...*handover.Pause) {
+	for _, p := range pauses {
+		if on {
+			p.Resume()
+		} else {
+			p.Hold()
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,7 @@
 	spareSockets    = 40  // descriptors kept for probes, lists, listeners and the runtime
 	dialPart        = 8   // one part in so many of the others is kept for dials: no channel is accepted with it
 	leastSockets    = 128
+	leastShare      = 24 // descriptors for channels and dials that a process has in any case
 	manageSockets   = 24 // kept for the management address, where one is named
 	longestDeadline = 3 * time.Second
 	killAfter       = 700 * time.Millisecond // SIGKILL comes so long after the longest deadline
@@ -241,6 +242,24 @@
 	c.MaxChannels = (c.Descriptors - c.DialSpare) / 2
 }
 
+// Share is what a process may hold of the limits while others serve beside it.
+type Share struct {
+	Reserved    int // of Descriptors, left to another process
+	MaxChannels int
+	Memory      int64 // for the Go runtime, in bytes
+}
+
+// Share shares the limits out to one process, or to two of the same parts.
+func (c *Config) Share(two bool) Share {
+	s := Share{MaxChannels: c.MaxChannels, Memory: int64(float64(c.MemoryMB) * memoryPart * (1 << 20))}
+	if two {
+		// Each has its own spare ones, so that its part of the others is less than half.
+		left := max(c.Descriptors-c.Sockets/2, leastShare)
+		s.Reserved, s.MaxChannels, s.Memory = c.Descriptors-left, (left-left/dialPart)/2, s.Memory/2
+	}
+	return s
+}
+
 // Reserve takes the descriptors of the QUIC front's flows out of the budget.
 func (c *Config) Reserve(f Fronts) error {
 	if f.QUIC.Listen == "" {
@@ -254,11 +273,11 @@
 	return nil
 }
 
-// Apply gives the limits to the Go runtime.
-func (c *Config) Apply() {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
-	debug.SetMemoryLimit(int64(float64(c.MemoryMB) * memoryPart * (1 << 20)))
-}
+// Apply gives the limit on cores to the Go runtime.
+func (c *Config) Apply() { runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores)))) }
+
+// Apply gives the limit on memory to the Go runtime.
+func (s Share) Apply() { debug.SetMemoryLimit(s.Memory) }
 
 func seconds(v float64) time.Duration { return time.Duration(math.Round(v * float64(time.Second))) }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -85,6 +85,22 @@
 	}
 }
 
+// Two processes that serve beside each other stay within the limits together, spare descriptors counted for both.
+func TestTwoProcessesShareTheLimits(t *testing.T) {
+	for _, sockets := range []string{"384", "472", "1100"} {
+		c, err := Parse([]byte(strings.Replace(strings.Replace(good, "1100", sockets, 1), `"seed"`, `"management":"127.0.0.4:1","seed"`, 1)), noEnv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		one, two := c.Share(false), c.Share(true)
+		each := c.Sockets - two.Reserved // what a process may hold in all
+		if one.Reserved != 0 || one.MaxChannels != c.MaxChannels || 2*each > c.Sockets || two.Memory*2 > one.Memory ||
+			2*two.MaxChannels > c.Descriptors-two.Reserved || two.MaxChannels < leastShare/4 {
+			t.Errorf("%s descriptors: one %+v, two %+v of %+v", sockets, one, two, c)
+		}
+	}
+}
+
 // Errors name the faulty key and its value.
 func TestFaultyKeysAreNamed(t *testing.T) {
 	for _, v := range []struct{ old, new, want string }{
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -36,6 +36,7 @@
 	moved    bool
 	since    time.Duration // when it last showed that it lives, or had its answer
 	dropped  bool          // it was shed
+	pinged   bool          // it is a health check, or looks like one
 
 	connect, wait, silence, end *deadline
 }
@@ -70,6 +71,7 @@
 // again may stay; one that asked once, or many times at a stroke, is dropped as one that said nothing.
 func (m *Module) Pinged(c *Call) {
 	m.post(func() {
+		c.pinged = true
 		if c.phase == accepted && m.now-c.since >= pingApart {
 			c.since = m.now
 			m.deadlines.drop(c.end)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -366,6 +366,47 @@
 	}
 }
 
+// A process that takes over is ready with discovery's first answer, or when the one before it has ended.
+func TestReadyWithAFreshList(t *testing.T) {
+	t.Parallel()
+	for name, get := range map[string]func(*Module){
+		"list":        func(m *Module) { m.Resolved(Result{Kind: decide.ListChanges}) },
+		"predecessor": (*Module).Begin,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := &fakeServers{}
+			m, err := New(Config{MaxChannels: 1, AwaitList: true, Log: func(string) {}, Settings: decide.Settings{Seed: 3,
+				Zone: "a", Subscribe: true, Classes: []decide.Class{{Name: "c", Aim: time.Second}}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			var running sync.WaitGroup
+			running.Go(func() { m.Run(ctx, f, f) })
+			t.Cleanup(func() { cancel(); running.Wait() })
+			m.Resolved(Result{Kind: decide.ListFailed})
+			if s := m.Fresh(10 * time.Second); s.Service != Starting {
+				t.Errorf("before: %v", s.Service)
+			}
+			f.mu.Lock()
+			if len(f.asked) != 1 {
+				t.Errorf("discovery was asked %q, want once and at once", f.asked)
+			}
+			f.mu.Unlock()
+			get(m)
+			select {
+			case <-m.Ready():
+			case <-time.After(10 * time.Second):
+				t.Fatal("not ready")
+			}
+			if m.Service() != Serving {
+				t.Errorf("after: %v", m.Service())
+			}
+		})
+	}
+}
+
 // What the staff asks is answered while the actor is held up: PING and the last figures at once, orders within their
 // bound. Guards against callers that wait for a full mailbox.
 func TestAsksAreBounded(t *testing.T) {
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -138,14 +138,23 @@
 
 func (m *Module) drainEnds() bool { return m.drain != nil && m.drain.ending }
 
-// drained ends the stop early once no request waits and nothing stands.
+// drained ends the stop early once no first line is on its way, no request waits and nothing stands.
 func (m *Module) drained() {
 	if m.drain == nil || !m.drain.least {
 		return
 	}
 	for c := range m.open {
-		if c.phase == pending || c.phase != accepted && !c.traits.Resumable {
+		switch c.phase {
+		case accepted: // guards a client that is slow to write its line; a health check has nothing to come
+			if !c.pinged {
+				return
+			}
+		case pending:
 			return
+		default:
+			if !c.traits.Resumable {
+				return
+			}
 		}
 	}
 	m.drainOver()
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,8 @@
 
 	inbox chan func()
 	done  chan struct{}
+	ready chan struct{}
+	once  sync.Once
 	epoch time.Time
 
 	// Owned by Run's goroutine.
@@ -99,7 +102,7 @@
 	}
 	m := &Module{
 		cfg: cfg, balancer: b, epoch: time.Now(),
-		inbox: make(chan func(), 1024), done: make(chan struct{}),
+		inbox: make(chan func(), 1024), done: make(chan struct{}), ready: make(chan struct{}),
 		deadlines: newDeadlines(), open: map[*Call]struct{}{}, calls: map[decide.RequestID]*Call{},
 		subchannels: map[decide.ServerID]*subchannel{}, probes: map[uint64]*probe{}, ids: map[string]struct{}{},
 		classes: make([]ClassCounters, len(cfg.Settings.Classes)),
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -27,10 +27,22 @@
 // enter changes the state and shows it at once.
 func (m *Module) enter(s Service) {
 	m.service = s
+	if s == Serving {
+		m.once.Do(func() { close(m.ready) })
+	}
 	m.cfg.Log("service state: " + s.String())
 	m.publish()
 }
 
+// Ready is closed once this process has been ready to serve.
+func (m *Module) Ready() <-chan struct{} { return m.ready }
+
+// Begin ends the start without a fresh list: the process that this one was to take over from has ended.
+func (m *Module) Begin() { m.post(m.started) }
+
+// Bound changes how many requests may wait and connections may stand, as Config.MaxChannels does at the start.
+func (m *Module) Bound(maxChannels int) { m.post(func() { m.cfg.MaxChannels = maxChannels }) }
+
 // started ends the start: discovery has answered, or does not.
 func (m *Module) started() {
 	if m.service == Starting {
--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -14,6 +14,7 @@
 
 	"cottonplank/decide"
 	"cottonplank/internal/core"
+	"cottonplank/internal/textline"
 )
 
 // channel is the actor of one client: it owns the client's connection and the one to its room server. Orders
@@ -263,7 +264,7 @@
 	}
 	c.front.module.Connected(c.call, up.n)
 	c.front.readers.Go(func() {
-		line, err := ReadLine(up.text.R)
+		line, err := textline.Read(up.text.R)
 		c.tell(newsReply{up, line, err})
 		select {
 		case <-up.start:
@@ -277,7 +278,7 @@
 	if n.up != c.up {
 		return
 	}
-	if errors.Is(n.err, errLong) || errors.Is(n.err, ErrBare) {
+	if errors.Is(n.err, textline.ErrLong) || errors.Is(n.err, textline.ErrBare) {
 		c.endAttempt(decide.ServerError, decide.NoReport)
 		return
 	}
@@ -350,7 +351,7 @@
 // readClient reads the client's lines: PING, the first line, then all that follows once it stands.
 func (c *channel) readClient() {
 	for pings := 0; ; {
-		line, err := ReadLine(c.text.R)
+		line, err := textline.Read(c.text.R)
 		if err == nil && line == "PING" && pings < pingsAtOnce {
 			if pings++; c.text.R.Buffered() == 0 {
 				pings = 0
@@ -361,7 +362,7 @@
 				continue
 			}
 		}
-		if err != nil && !errors.Is(err, errLong) && !errors.Is(err, ErrBare) {
+		if err != nil && !errors.Is(err, textline.ErrLong) && !errors.Is(err, textline.ErrBare) {
 			c.tell(newsClientEnd{err})
 			return
 		}
--- a/internal/line/reply.go
+++ b/internal/line/reply.go
@@ -1,38 +1,12 @@
 package line
 
 import (
-	"bufio"
-	"errors"
 	"strconv"
 	"strings"
 
 	"cottonplank/decide"
 )
 
-// Lines that break the protocol's form.
-var (
-	errLong = errors.New("line is longer than 4 KiB")
-	// ErrBare comes with the line's text: not all that read lines insist on the carriage return.
-	ErrBare = errors.New("line does not end with CRLF")
-)
-
-// ReadLine reads one line without its end. textproto's ReadLine has no bound; the reader's buffer, which
-// textproto.NewConn makes 4 KiB, is the bound here.
-func ReadLine(r *bufio.Reader) (string, error) {
-	raw, err := r.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		return "", errLong
-	}
-	if err != nil {
-		return "", err
-	}
-	text, ok := strings.CutSuffix(string(raw), "\r\n")
-	if !ok {
-		return strings.TrimSuffix(text, "\n"), ErrBare
-	}
-	return text, nil
-}
-
 // reply is a room server's answer to a first line or a probe.
 type reply struct {
 	up     bool
--- a/internal/line/subchannel.go
+++ b/internal/line/subchannel.go
@@ -9,6 +9,7 @@
 
 	"cottonplank/decide"
 	"cottonplank/internal/core"
+	"cottonplank/internal/textline"
 )
 
 // probeBacklog is how many probes may wait at one room server; more are lost and time out.
@@ -118,7 +119,7 @@
 	if err := s.text.PrintfLine("STATS"); err != nil {
 		return "", err
 	}
-	return ReadLine(s.text.R)
+	return textline.Read(s.text.R)
 }
 
 func (s *subchannel) close() {
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"cottonplank/internal/core"
-	"cottonplank/internal/line"
+	"cottonplank/internal/textline"
 
 	"github.com/sirupsen/logrus"
 )
@@ -136,8 +136,8 @@
 	defer conn.Close()
 	conn.SetReadDeadline(time.Now().Add(callWait)) // guards against callers that send nothing, or half a call
 	text := textproto.NewConn(conn)
-	read, err := line.ReadLine(text.R)
-	if err != nil && !errors.Is(err, line.ErrBare) {
+	read, err := textline.Read(text.R)
+	if err != nil && !errors.Is(err, textline.ErrBare) {
 		read = "" // too long, cut off or not sent: no call
 	}
 	conn.SetWriteDeadline(time.Now().Add(askWait + writeWait))
--- a/internal/quic/front_test.go
+++ b/internal/quic/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,40 @@
 
 var idKey = bytes.Repeat([]byte{3}, 16)
 
+// Another process reads the socket from now on: it finds the connection by its id, at the room server that holds it, and
+// what the old one still gets from there reaches the client.
+func TestSocketIsHandedOver(t *testing.T) {
+	t.Parallel()
+	ids := format(t, idKey)
+	s1, s2 := newServer(t, "s-1", ids, accepts), newServer(t, "s-2", ids, accepts)
+	old := newBalancer(t, "127.0.0.1:0", ids, nil, s1.instance(decide.Ready))
+	c := newClient(t, old.front.Addr())
+	if closed, err := c.open(5 * time.Second); err != nil || closed != nil {
+		t.Fatalf("open: %+v, %v", closed, err)
+	}
+	f, err := old.front.conn.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	shared, err := net.FilePacketConn(f)
+	f.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.pause.Hold()
+	next := newBalancer(t, "127.0.0.1:0", ids, func(cfg *Config) {
+		cfg.Conn.Close()
+		cfg.Conn = shared.(*net.UDPConn)
+	}, s1.instance(decide.Ready), s2.instance(decide.Ready))
+	if answer, err := c.say("hello"); err != nil || answer != "s-1 hello" {
+		t.Fatalf("after the hand-over: %q, %v", answer, err)
+	}
+	eventually(t, "reopened", func() bool { return next.module.Snapshot().Reopened == 1 })
+	if s := next.module.Snapshot(); s.Served != 1 || s.Failed > 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
 // Ten clients change their address every second: each stays with the server that took it.
 func TestAddressChangesEverySecond(t *testing.T) {
 	t.Parallel()
