--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -34,8 +34,10 @@
 	reopened bool
 	patience time.Duration
 	moved    bool
+	accepted time.Duration
 	since    time.Duration // when it last showed that it lives, or had its answer
 	dropped  bool          // it was shed
+	begun    bool          // bytes of its line have come
 	pinged   bool          // it is a health check, or looks like one
 
 	connect, wait, silence, end *deadline
@@ -61,17 +63,33 @@
 	}
 	m.post(func() {
 		m.open[c] = struct{}{}
-		c.since = m.now
+		c.since, c.accepted = m.now, m.now
 		c.end = m.deadlines.set(m.now+firstLineWait, ch.Drop)
 	})
 	return c
 }
 
+// Begun tells that a part of a channel's line has come, and again when more has. Guards clients that take their time to
+// write it: they have longer than those that send nothing, and are shed after them. No piece renews the wait.
+func (m *Module) Begun(c *Call) {
+	m.post(func() {
+		if c.phase != accepted {
+			return
+		}
+		c.since = m.now
+		if !c.begun {
+			c.begun = true
+			m.deadlines.drop(c.end)
+			c.end = m.deadlines.set(c.accepted+begunLineWait, c.ch.Drop)
+		}
+	})
+}
+
 // Pinged tells that a channel which has asked for nothing shows that it lives. A health check that asks again and
 // again may stay; one that asked once, or many times at a stroke, is dropped as one that said nothing.
 func (m *Module) Pinged(c *Call) {
 	m.post(func() {
-		c.pinged = true
+		c.pinged, c.begun = true, false // what had begun to come was that
 		if c.phase == accepted && m.now-c.since >= pingApart {
 			c.since = m.now
 			m.deadlines.drop(c.end)
@@ -88,7 +106,7 @@
 		var longest *Call
 		for c := range m.open {
 			if c.traits.Descriptor && !c.dropped && (c.phase == accepted || c.phase == answered) &&
-				m.now-c.since >= shedAfter && (longest == nil || c.since < longest.since) {
+				m.now-c.since >= shedAfter && (longest == nil || c.shedBefore(longest)) {
 				longest = c
 			}
 		}
@@ -100,6 +118,14 @@
 	})
 }
 
+// shedBefore is the order in which channels are shed.
+func (c *Call) shedBefore(o *Call) bool {
+	if mine, others := c.phase == accepted && c.begun, o.phase == accepted && o.begun; mine != others {
+		return others
+	}
+	return c.since < o.since
+}
+
 // Request tells what a channel asks for. Exactly one final answer follows while the channel stays open.
 func (m *Module) Request(c *Call, r Request) {
 	m.post(func() {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -407,6 +407,32 @@
 	}
 }
 
+// A channel whose line has begun to come has longer than one that sends nothing, is shed after it, and holds up a stop
+// until its line is there. Guards slow clients in a crowd of silent ones.
+func TestBegunLinesAreWaitedFor(t *testing.T) {
+	t.Parallel()
+	m := run(t, 10, instance("s-1"))
+	slow, silent := &fakeChannel{}, &fakeChannel{}
+	c := m.Accept(slow, Traits{Descriptor: true})
+	m.Begun(c)
+	m.Accept(silent, Traits{Descriptor: true})
+	time.Sleep(2 * shedAfter)
+	m.Shed()
+	silent.wait(t, "drop")
+	over := m.Drain(20 * time.Second) // its moves come late: nothing else holds it up
+	time.Sleep(firstLineWait + 200*time.Millisecond)
+	m.Begun(c) // renews nothing
+	select {
+	case <-over:
+		t.Error("the stop was over before the line was there")
+	default:
+	}
+	if got := slow.orders(); got != "" {
+		t.Errorf("the slow one got %q", got)
+	}
+	slow.wait(t, "drop")
+}
+
 // What the staff asks is answered while the actor is held up: PING and the last figures at once, orders within their
 // bound. Guards against callers that wait for a full mailbox.
 func TestAsksAreBounded(t *testing.T) {
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -145,8 +145,8 @@
 	}
 	for c := range m.open {
 		switch c.phase {
-		case accepted: // guards a client that is slow to write its line; a health check has nothing to come
-			if !c.pinged {
+		case accepted: // guards a client that is slow to write its line
+			if c.begun {
 				return
 			}
 		case pending:
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -15,19 +15,20 @@
 const (
 	clockStart = 24 * time.Hour // the host clock's reading at the start, so that earlier starts stay above 0
 
-	firstLineWait = 2 * time.Second        // a channel that has asked for nothing is dropped after this,
-	pingApart     = time.Second            // unless it goes on showing that it lives, so far apart at least
-	shedAfter     = 10 * time.Millisecond  // a channel younger than this is not shed: its line is on its way
-	idMemory      = 10 * time.Second       // a request's id is not taken again for so long after its end
-	silenceWait   = 3 * time.Second        // a standing connection that brings nothing back is moved after this
-	lingerWait    = 500 * time.Millisecond // a side that does not close after the other is dropped after this
-	moveWait      = 900 * time.Millisecond // a moved client that takes nothing any more is dropped after this
-	connectSlack  = 20 * time.Millisecond  // the machine's own delay, on top of the connect timeout
-	probeWait     = 200 * time.Millisecond // a probe without answer counts as timed out
-	listWait      = 4 * time.Second        // a call to discovery without any answer has failed
-	watchWait     = 6 * time.Second        // a watch that brings not even empty lines hangs
-	reopenPause   = 250 * time.Millisecond // between dials for a connection that was open before the start
-	busyRetry     = time.Second            // told to clients past the bound on channels
+	firstLineWait = 2 * time.Second         // a channel that has asked for nothing is dropped after this,
+	begunLineWait = 2800 * time.Millisecond // so is one whose line has begun to come, but is not whole
+	pingApart     = time.Second             // unless it goes on showing that it lives, so far apart at least
+	shedAfter     = 10 * time.Millisecond   // a channel younger than this is not shed: its line is on its way
+	idMemory      = 10 * time.Second        // a request's id is not taken again for so long after its end
+	silenceWait   = 3 * time.Second         // a standing connection that brings nothing back is moved after this
+	lingerWait    = 500 * time.Millisecond  // a side that does not close after the other is dropped after this
+	moveWait      = 900 * time.Millisecond  // a moved client that takes nothing any more is dropped after this
+	connectSlack  = 20 * time.Millisecond   // the machine's own delay, on top of the connect timeout
+	probeWait     = 200 * time.Millisecond  // a probe without answer counts as timed out
+	listWait      = 4 * time.Second         // a call to discovery without any answer has failed
+	watchWait     = 6 * time.Second         // a watch that brings not even empty lines hangs
+	reopenPause   = 250 * time.Millisecond  // between dials for a connection that was open before the start
+	busyRetry     = time.Second             // told to clients past the bound on channels
 	snapshotEvery = 250 * time.Millisecond
 	startWait     = 3 * time.Second // without an answer of discovery a successor serves from the list it has
 )
--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -351,7 +351,7 @@
 // readClient reads the client's lines: PING, the first line, then all that follows once it stands.
 func (c *channel) readClient() {
 	for pings := 0; ; {
-		line, err := textline.Read(c.text.R)
+		line, err := c.readLine()
 		if err == nil && line == "PING" && pings < pingsAtOnce {
 			if pings++; c.text.R.Buffered() == 0 {
 				pings = 0
@@ -386,6 +386,28 @@
 	}
 }
 
+// begunEvery bounds how often the core hears of a line that comes byte by byte.
+const begunEvery = 50 * time.Millisecond
+
+// readLine reads one of the client's first lines. The core hears when it comes in pieces.
+func (c *channel) readLine() (string, error) {
+	var told time.Time
+	for n := 0; ; {
+		if _, err := c.text.R.Peek(n + 1); err != nil {
+			break // the read tells
+		}
+		n = c.text.R.Buffered()
+		if raw, _ := c.text.R.Peek(n); n == c.text.R.Size() || bytes.IndexByte(raw, '\n') >= 0 {
+			break
+		}
+		if time.Since(told) >= begunEvery {
+			told = time.Now()
+			c.front.module.Begun(c.call)
+		}
+	}
+	return textline.Read(c.text.R)
+}
+
 // discard reads on after a final answer, up to a bound; the core drops the channel after a while.
 func (c *channel) discard() {
 	if _, err := io.CopyN(io.Discard, c.client, discardMost); err != nil {
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -331,6 +331,25 @@
 	check.want("UP receipt-1\r\n")
 }
 
+// A client that writes its line in pieces over more than 2 s is served, whatever it is cut into.
+func TestSlowLines(t *testing.T) {
+	t.Parallel()
+	b := newBalancer(t, newServer(t, "s-1", echo))
+	var writers sync.WaitGroup
+	for _, cut := range []int{1, 20, len(opening()) - 1} {
+		c, text := b.client(t), opening()
+		writers.Go(func() {
+			c.conn.Write([]byte(text[:cut]))
+			time.Sleep(2200 * time.Millisecond)
+			c.conn.Write([]byte(text[cut:]))
+			if line, err := c.r.ReadString('\n'); err != nil || line != "UP receipt-1\r\n" {
+				t.Errorf("cut at %d: read %q, %v", cut, line, err)
+			}
+		})
+	}
+	writers.Wait()
+}
+
 // Channels that say nothing take no descriptor from those that ask: the longest silent are shed for them, and dials
 // find one. Guards against clients that open connections by hundreds.
 func TestSilentChannelsAreShed(t *testing.T) {
