Show the figures by class and the service state in the MIB; remove only the own path

The hand-over's path was removed at the end wherever no successor was connected, also one that another process had put there after a hang (internal/handover/handover.go Serve); a test fails without the check.

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -158,7 +158,7 @@
 		if err != nil {
 			return err
 		}
-		agent = snmp.New(conn, fronts.SNMP.Community, cfg.Name, module.Snapshot, log)
+		agent = snmp.New(conn, fronts.SNMP.Community, cfg.Name, classNames(cfg), module.Snapshot, log)
 		agentPause = pauseUDP(conn)
 	}
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -198,6 +198,7 @@
 	sockets *Sockets
 	log     *logrus.Logger
 	changed func(Successors)
+	own     os.FileInfo // of the Unix socket, as the actor left it at path
 	actors  sync.WaitGroup
 }
 
@@ -231,8 +232,8 @@
 	for {
 		select {
 		case <-ctx.Done():
-			if len(successors) == 0 {
-				os.Remove(o.path) // else it is a successor's
+			if now, err := os.Lstat(o.path); err == nil && o.own != nil && os.SameFile(now, o.own) {
+				os.Remove(o.path) // else it is another process's
 			}
 			for conn := range successors {
 				conn.Close()
@@ -272,7 +273,9 @@
 	if err == nil {
 		l.SetUnlinkOnClose(false) // by then the path may be a successor's
 		if err = os.Chmod(fresh, 0o600); err == nil {
-			err = os.Rename(fresh, o.path)
+			if o.own, err = os.Lstat(fresh); err == nil {
+				err = os.Rename(fresh, o.path)
+			}
 		}
 		if err != nil {
 			l.Close()
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -121,6 +121,32 @@
 	}
 }
 
+// At its end a process takes away the path that it left, and no other's.
+func TestOwnPathIsRemoved(t *testing.T) {
+	t.Parallel()
+	path := Path(t.TempDir(), "x")
+	_, _, first := offer(t, path, "127.0.0.1:0")
+	takes(t, path)
+	left, err := os.Lstat(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _, second := offer(t, path, "127.0.0.1:0")
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if now, err := os.Lstat(path); err == nil && !os.SameFile(now, left) {
+			break
+		}
+	}
+	first()
+	if _, err := os.Lstat(path); err != nil {
+		t.Errorf("the path of another process is gone: %v", err)
+	}
+	second()
+	if _, err := os.Lstat(path); err == nil {
+		t.Error("the own path is left")
+	}
+}
+
 // The path that a killed process left is no predecessor and is replaced; a process that hangs is not waited for long.
 func TestStaleAndHungPaths(t *testing.T) {
 	t.Parallel()
--- a/internal/snmp/agent.go
+++ b/internal/snmp/agent.go
@@ -24,15 +24,16 @@
 type Agent struct {
 	community string
 	name      string
+	classes   []string
 	snapshot  func() *core.Snapshot
 	conn      *net.UDPConn
 	codec     *gosnmp.GoSNMP
 	log       *logrus.Logger
 }
 
-// New returns an agent that answers at a socket.
-func New(conn *net.UDPConn, community, name string, snapshot func() *core.Snapshot, log *logrus.Logger) *Agent {
-	return &Agent{community: community, name: name, snapshot: snapshot, conn: conn, log: log,
+// New returns an agent that answers at a socket for a balancer whose classes have these names.
+func New(conn *net.UDPConn, community, name string, classes []string, snapshot func() *core.Snapshot, log *logrus.Logger) *Agent {
+	return &Agent{community: community, name: name, classes: classes, snapshot: snapshot, conn: conn, log: log,
 		codec: &gosnmp.GoSNMP{Version: gosnmp.Version2c, Community: community}}
 }
 
@@ -69,7 +70,7 @@
 	}
 	response := &gosnmp.SnmpPacket{Version: gosnmp.Version2c, Community: a.community,
 		PDUType: gosnmp.GetResponse, RequestID: request.RequestID}
-	t := newTree(a.name, a.snapshot())
+	t := newTree(a.name, a.classes, a.snapshot())
 	switch request.PDUType {
 	case gosnmp.GetRequest:
 		for _, v := range request.Variables {
--- a/internal/snmp/agent_test.go
+++ b/internal/snmp/agent_test.go
@@ -21,8 +21,11 @@
 	"github.com/sirupsen/logrus"
 )
 
+var classes = []string{"solo-play", "team-play"}
+
 func snapshot() *core.Snapshot {
 	s := &core.Snapshot{ClassCounters: core.ClassCounters{Served: 5, Refused: 4, Failed: 3, Attempts: 9},
+		Classes: []core.ClassCounters{{Served: 4}, {Served: 1, Refused: 4}}, Service: core.LameDuck, Standing: 8,
 		Counters: core.Counters{Moves: 2, Probes: 7},
 		Started:  time.Now().Add(-time.Minute), ListAt: time.Now().Add(-3 * time.Second), Open: 6, Waiting: 1}
 	for i := range 14 {
@@ -42,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := New(conn, "secret", "n3", func() *core.Snapshot { return s }, log)
+	a := New(conn, "secret", "n3", classes, func() *core.Snapshot { return s }, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { a.Serve(ctx, handover.NewPause(conn.SetReadDeadline)) })
@@ -89,6 +92,9 @@
 	for _, c := range columns {
 		got[c.name+" "+c.oid] = c.kind
 	}
+	for _, c := range classColumns {
+		got[c.name+" "+c.oid] = c.kind
+	}
 	if len(want) != len(got) {
 		t.Errorf("the MIB has %d objects, the agent %d", len(want), len(got))
 	}
@@ -108,7 +114,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if n := len(scalars) + 14*len(columns); len(all) != n {
+		if n := len(scalars) + 14*len(columns) + len(classes)*len(classColumns); len(all) != n {
 			t.Errorf("%s: %d values, want %d", name, len(all), n)
 		}
 		if !slices.IsSortedFunc(all, func(a, b gosnmp.SnmpPDU) int { return slices.Compare(parseOID(a.Name), parseOID(b.Name)) }) {
@@ -119,7 +125,7 @@
 			values[v.Name] = v.Value
 		}
 		for oid, want := range map[string]any{objects + ".1.0": uint64(5), objects + ".9.0": uint(6),
-			objects + ".8.0": uint(3), entry + ".5." + fmt.Sprint(core.ServerID("s-3")): 2,
+			objects + ".8.0": uint(3), objects + ".11.0": uint(8), objects + ".14.0": 3, byClass + ".4.2": uint64(4), entry + ".5." + fmt.Sprint(core.ServerID("s-3")): 2,
 			entry + ".8." + fmt.Sprint(core.ServerID("s-3")): 500} {
 			if values[oid] != want {
 				t.Errorf("%s: %s is %v (%T), want %v", name, oid, values[oid], values[oid], want)
--- a/internal/snmp/tree.go
+++ b/internal/snmp/tree.go
@@ -18,6 +18,7 @@
 	mibRoot = ".1.3.6.1.4.1.32473.1"
 	objects = mibRoot + ".1"
 	entry   = objects + ".20.1"
+	byClass = objects + ".21.1"
 	system  = ".1.3.6.1.2.1.1"
 )
 
@@ -34,10 +35,16 @@
 	value func(name string, s *core.Snapshot) any
 }
 
-// column tells its value from a row.
-type column struct {
+// column tells its value from a row of its table.
+type column[R any] struct {
 	object
-	value func(r *core.SubchannelRow) any
+	value func(r *R) any
+}
+
+// classRow is one class of requests.
+type classRow struct {
+	core.ClassCounters
+	name string
 }
 
 func counter(name, arc string, pick func(*core.Snapshot) uint64) scalar {
@@ -70,9 +77,16 @@
 	gauge("cpListAge", ".8", func(s *core.Snapshot) int { return int(time.Since(s.ListAt) / time.Second) }),
 	gauge("cpOpenChannels", ".9", func(s *core.Snapshot) int { return s.Open }),
 	gauge("cpWaitingRequests", ".10", func(s *core.Snapshot) int { return s.Waiting }),
+	gauge("cpStandingConnections", ".11", func(s *core.Snapshot) int { return s.Standing }),
+	gauge("cpListedServers", ".12", func(s *core.Snapshot) int { return s.Listed }),
+	gauge("cpAvoidedServers", ".13", func(s *core.Snapshot) int { return s.Avoided }),
+	{object{"cpServiceState", objects + ".14", gosnmp.Integer}, func(_ string, s *core.Snapshot) any {
+		return map[core.Service]int{core.Starting: 1, core.Serving: 2, core.LameDuck: 3, core.Stopping: 4}[s.Service]
+	}},
+	counter("cpMalformed", ".15", func(s *core.Snapshot) uint64 { return s.Malformed }),
 }
 
-var columns = []column{
+var columns = []column[core.SubchannelRow]{
 	{object{"cpSubchannelInstance", entry + ".2", gosnmp.OctetString}, func(r *core.SubchannelRow) any { return r.Instance }},
 	{object{"cpSubchannelAddress", entry + ".3", gosnmp.OctetString}, func(r *core.SubchannelRow) any { return r.Address }},
 	{object{"cpSubchannelZone", entry + ".4", gosnmp.OctetString}, func(r *core.SubchannelRow) any { return r.Zone }},
@@ -89,6 +103,18 @@
 	}},
 }
 
+func classCounter(name, arc string, pick func(*classRow) uint64) column[classRow] {
+	return column[classRow]{object{name, byClass + arc, gosnmp.Counter64}, func(r *classRow) any { return pick(r) }}
+}
+
+var classColumns = []column[classRow]{
+	{object{"cpClassName", byClass + ".2", gosnmp.OctetString}, func(r *classRow) any { return r.name }},
+	classCounter("cpClassServed", ".3", func(r *classRow) uint64 { return r.Served }),
+	classCounter("cpClassRefused", ".4", func(r *classRow) uint64 { return r.Refused }),
+	classCounter("cpClassFailed", ".5", func(r *classRow) uint64 { return r.Failed }),
+	classCounter("cpClassAttempts", ".6", func(r *classRow) uint64 { return r.Attempts }),
+}
+
 // tree is all that one snapshot shows, in the order of the object identifiers.
 type tree struct {
 	bindings []binding
@@ -99,21 +125,27 @@
 	pdu gosnmp.SnmpPDU
 }
 
-func newTree(name string, s *core.Snapshot) *tree {
+func newTree(name string, classes []string, s *core.Snapshot) *tree {
 	t := &tree{}
 	for _, o := range scalars {
 		t.add(o.oid+".0", o.kind, o.value(name, s))
 	}
 	for i := range s.Subchannels {
-		row := &s.Subchannels[i]
-		for _, c := range columns {
-			t.add(c.oid+"."+strconv.FormatUint(uint64(row.ID), 10), c.kind, c.value(row))
-		}
+		addRow(t, columns, uint64(s.Subchannels[i].ID), &s.Subchannels[i])
+	}
+	for i := range min(len(classes), len(s.Classes)) {
+		addRow(t, classColumns, uint64(i+1), &classRow{s.Classes[i], classes[i]})
 	}
 	slices.SortFunc(t.bindings, func(a, b binding) int { return slices.Compare(a.oid, b.oid) })
 	return t
 }
 
+func addRow[R any](t *tree, columns []column[R], index uint64, row *R) {
+	for _, c := range columns {
+		t.add(c.oid+"."+strconv.FormatUint(index, 10), c.kind, c.value(row))
+	}
+}
+
 func (t *tree) add(oid string, kind gosnmp.Asn1BER, value any) {
 	t.bindings = append(t.bindings, binding{parseOID(oid), gosnmp.SnmpPDU{Name: oid, Type: kind, Value: value}})
 }
@@ -156,6 +188,9 @@
 	for _, c := range columns {
 		all = append(all, parseOID(c.oid))
 	}
+	for _, c := range classColumns {
+		all = append(all, parseOID(c.oid))
+	}
 	return all
 }()
 
