Count a placement on top of reports for 0.6 s, each by itself

Checked against the trace: reports show 9 of 11 new connections 0.4 s after the last, loads do not ramp, reports are 74 to 270 ms old and a probe takes at most 200 ms. So the lag is 0.6 s now (decide/decide.go reportLag, was 2 s).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,7 +30,7 @@
 	ejectMost    = 30 * time.Second        // at most this
 	fullRest     = time.Second             // a full server is left alone for this
 	refuseRest   = 200 * time.Millisecond  // a refused client is told to stay away for this, up to twice
-	reportLag    = 2 * time.Second         // for so long a report may not show a placement yet
+	reportLag    = 600 * time.Millisecond  // for so long a report may not show a placement yet
 	fadeTime     = 10 * time.Second        // memory of attempts for throttling
 	rateTime     = 20 * time.Second        // memory of the rate of connections set up
 	capacityTime = 60 * time.Second        // memory of what a warm server can take
@@ -217,9 +217,7 @@
 	if s.uses >= poolUses || len(b.waiting) > 0 { // others hold requests too and rush to the room shown
 		b.unpool(s)
 	}
-	share := b.share(r, s)
-	s.load += share
-	s.charged, s.chargedAt = s.unseen(b.now)+share, b.now
+	s.book(b.share(r, s), b.now)
 	if b.cold(s) {
 		s.credit -= b.weight(r)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1199,3 +1199,27 @@
 		t.Error("still told as left out after its time")
 	}
 }
+
+// Bookings are forgotten one by one, each when reports must show it. Guards against a server that looks full, and keeps
+// requests waiting beside its room, for as long as it is sent a client now and then.
+func TestBookingsExpireOneByOne(t *testing.T) {
+	set := settings()
+	set.Balancers = 1
+	w := newWorld(t, set)
+	w.full(servers(1, 0))
+	for i := range 4 {
+		w.report(1, 0.4)
+		w.stand(name("old", i), safe)
+	}
+	old := w.b.servers[1].unseen(w.now)
+	w.now += reportLag * 3 / 4
+	w.stand("new", safe)
+	w.now += reportLag / 2
+	w.report(1, 0.4)
+	if s := w.b.servers[1]; s.load-0.4 > old/2 || s.load <= 0.4 {
+		t.Errorf("load %.2f after a report of 0.40, with %.2f booked long before it", s.load, old)
+	}
+	if reportLag > time.Second {
+		t.Errorf("a placement counts %v on top of reports that are no older than half a second", reportLag)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -34,8 +34,7 @@
 	slow        time.Duration // messages are slow there, until then unless told again
 	credit      float64       // slow start: placements this balancer may make while it is cold,
 	creditUntil time.Duration // until then
-	charged     float64       // own placements that a report may not show yet,
-	chargedAt   time.Duration // the last of them
+	booked      []booking     // own placements that a report may not show yet, oldest first
 	movedAt     time.Duration // when connections were last moved off
 	conns       []*request    // connections that stand there through this balancer
 }
@@ -197,12 +196,26 @@
 	return b.weight(r) * b.mean / max(held, 4)
 }
 
-// unseen is the charge that a report coming now may not show yet.
-func (s *server) unseen(now time.Duration) float64 {
-	if now-s.chargedAt > reportLag {
-		return 0
+// booking is a placement's share of a server's load.
+type booking struct {
+	share float64
+	at    time.Duration
+}
+
+// book adds a placement to a server's load until a report shows it.
+func (s *server) book(share float64, now time.Duration) {
+	s.load += share
+	s.booked = append(s.booked, booking{share, now})
+}
+
+// unseen is the share of the placements that a report coming now may not show yet. Each is forgotten by itself: guards
+// against a server that looks full for as long as it is sent a client now and then.
+func (s *server) unseen(now time.Duration) (sum float64) {
+	s.booked = slices.DeleteFunc(s.booked, func(x booking) bool { return now-x.at > reportLag })
+	for _, x := range s.booked {
+		sum += x.share
 	}
-	return s.charged
+	return sum
 }
 
 // sign notes that some server answers.
