--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -27,11 +27,11 @@
 // enter changes the state and shows it at once.
 func (m *Module) enter(s Service) {
 	m.service = s
-	if s == Serving {
-		m.once.Do(func() { close(m.ready) })
-	}
 	m.cfg.Log("service state: " + s.String())
 	m.publish()
+	if s == Serving {
+		m.once.Do(func() { close(m.ready) }) // after it is shown
+	}
 }
 
 // Ready is closed once this process has been ready to serve.
