--- a/decide/decide.go
+++ b/decide/decide.go
@@ -541,10 +541,10 @@
 		bad := s.reported > moveLoad || b.now < s.slow && s.reported > moveTarget
 		if len(s.conns) > 0 && bad && b.fresh(s) && s.at > s.movedAt+moveSettle {
 			s.movedAt = b.now
-			for _, r := range s.conns {
-				if b.rng.Float64() > moveTarget/s.reported {
-					b.do(Move{ID: r.ID})
-				}
+			// Rounded by chance, not drawn one by one: that often moves none of a few, and the next turn is far.
+			n := int(float64(len(s.conns))*(1-moveTarget/s.reported) + b.rng.Float64())
+			for _, i := range b.rng.Perm(len(s.conns))[:min(n, len(s.conns))] {
+				b.do(Move{ID: s.conns[i].ID})
 			}
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1224,3 +1224,22 @@
 		t.Errorf("a placement counts %v on top of reports that are no older than half a second", reportLag)
 	}
 }
+
+// An overloaded server's part of the clients is moved at each turn, give or take one. Guards against draws that move none
+// of a few, after which all of them are served badly until the next turn.
+func TestRebalanceMovesItsPartOfAFew(t *testing.T) {
+	const held = 8
+	for seed := range uint64(30) {
+		set := settings()
+		set.Seed = seed
+		w := newWorld(t, set)
+		w.full(servers(2, 0))
+		for i := range held {
+			w.send(Opened{Request: Requested{ID: RequestID(name("r", i))}, Server: 1})
+		}
+		w.report(1, 1)
+		if n := len(find[Move](w.tick(tick))); n != held*(1-moveTarget) {
+			t.Errorf("seed %d: %d of %d clients moved off a server at 1.0, want a quarter", seed, n, held)
+		}
+	}
+}
