--- a/decide/decide.go
+++ b/decide/decide.go
@@ -544,6 +544,7 @@
 			// Rounded by chance, not drawn one by one: that often moves none of a few, and the next turn is far.
 			n := int(float64(len(s.conns))*(1-moveTarget/s.reported) + b.rng.Float64())
 			for _, i := range b.rng.Perm(len(s.conns))[:min(n, len(s.conns))] {
+				s.conns[i].tooMuch = true
 				b.do(Move{ID: s.conns[i].ID})
 			}
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1243,3 +1243,36 @@
 		}
 	}
 }
+
+// A client that was moved off an overloaded server does not come straight back to it, though it is its group's first and
+// looks lighter while the client is away. Guards against moves that cost the clients a break and change nothing.
+func TestMovedClientsDoNotComeStraightBack(t *testing.T) {
+	w := newWorld(t, settings())
+	w.full(servers(4, 0))
+	for id := range ServerID(4) {
+		w.report(id+1, 0.3)
+	}
+	ask := func(id, key string) ServerID {
+		return w.placed(w.send(Requested{ID: RequestID(id), Key: key, Group: "g", Remaining: 2 * time.Second}))
+	}
+	for i := range 8 {
+		home := ask(name("r", i), name("key", i))
+		w.send(Established{ID: RequestID(name("r", i)), Server: home})
+		w.report(home, 0.3)
+	}
+	home := w.b.requests["r0"].srv.ID
+	w.now += moveSettle
+	w.report(home, 1.2)
+	moves := find[Move](w.tick(tick))
+	if len(moves) == 0 {
+		t.Fatal("nobody was moved")
+	}
+	for _, m := range moves {
+		key := w.b.requests[m.ID].Key
+		w.end(string(m.ID), 0, home, Cancelled, true)
+		w.report(home, 0.3)
+		if s := ask("again-"+string(m.ID), key); s == home {
+			t.Errorf("%s came back to server %d", key, s)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -50,11 +50,12 @@
 	srv      *server       // the server of the latest attempt
 	out      bool          // that attempt has not ended
 	stands   bool          // its connection stands
+	tooMuch  bool          // it was moved off an overloaded server
 	ran      *server       // the server of the first attempt that may have run,
 	ranAt    time.Duration // sent at or after this
 }
 
-// memory is where a client's key last was; lost says that its connection broke there.
+// memory is where a client's key last was; lost says that its connection broke there, or was too much for it.
 type memory struct {
 	server ServerID
 	at     time.Duration
@@ -313,7 +314,7 @@
 	b.waiting = without(b.waiting, r)
 }
 
-// remember keeps a client off the server it lost, and finds the server of one whose packets come back.
+// remember keeps a client off the server it lost, or was moved off for its load, and finds the server of one whose packets come back.
 func (b *Balancer) remember(r *request, code Code) {
 	if r.Key == "" || code != Reset && code != Cancelled {
 		return
@@ -325,7 +326,7 @@
 			b.memOrder = b.memOrder[1:]
 		}
 	}
-	b.memories[r.Key] = memory{r.srv.ID, b.now, code == Reset}
+	b.memories[r.Key] = memory{r.srv.ID, b.now, code == Reset || r.tooMuch}
 }
 
 // expireMemories drops what is too old to matter.
