--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -118,7 +118,7 @@
 	sockets, predecessor := handover.Take(path, log)
 	cfg.Share(predecessor != nil).Apply()
 	module, err := core.New(core.Config{Settings: cfg.Settings, Known: cfg.Known, MaxChannels: cfg.MaxChannels,
-		AwaitList: predecessor != nil, Log: func(text string) { log.Info(text) }})
+		AwaitList: predecessor != nil, Learned: learned(predecessor, log), Log: func(text string) { log.Info(text) }})
 	if err != nil {
 		return err
 	}
@@ -177,7 +177,8 @@
 	running.Go(func() { list.Run(ctx) })
 	running.Go(func() { module.Run(ctx, prober, list); prober.Wait() })
 	next := newSuccession(cfg, module, front, clients, datagrams, predecessor)
-	offer := handover.NewOffer(path, sockets, next.successors, log)
+	tell := func() []string { return module.Learned(learnedWait) }
+	offer := handover.NewOffer(path, sockets, tell, next.successors, log)
 	running.Go(func() { next.run(ctx) })
 	running.Go(func() { next.begin(ctx, predecessor, func() { offer.Serve(ctx) }) })
 	running.Go(func() { front.Serve(ctx, listener, clients) })
--- a/cmd/cottonplank/succession.go
+++ b/cmd/cottonplank/succession.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"time"
 
+	"cottonplank/decide"
 	"cottonplank/internal/config"
 	"cottonplank/internal/core"
 	"cottonplank/internal/handover"
 	"cottonplank/internal/line"
+
+	"github.com/sirupsen/logrus"
 )
 
 // succession is the actor that owns what this process leaves to the one before it, or to the one after it: who
@@ -89,6 +93,25 @@
 	offer()
 }
 
+// learnedWait is how long the core may take to tell what it has learned.
+const learnedWait = 400 * time.Millisecond
+
+// learned reads what a predecessor has learned of the room servers. A line that cannot be read is left out.
+func learned(predecessor *handover.Predecessor, log *logrus.Logger) (all []decide.Learned) {
+	if predecessor == nil {
+		return nil
+	}
+	for _, line := range predecessor.Learned {
+		l, err := core.DecodeLearned(line)
+		if err != nil {
+			log.WithError(err).Warn("hand-over: a line is left out")
+			continue
+		}
+		all = append(all, l)
+	}
+	return all
+}
+
 // successors tells who has taken the sockets.
 func (s *succession) successors(n handover.Successors) { s.turn(func() { s.after = n }) }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1276,3 +1276,38 @@
 		}
 	}
 }
+
+// What one balancer has learned of a server holds at the one that takes over: a server that is left out stays out, though
+// it looks empty, and a fresh report counts. What is told of unknown servers, or makes no sense, changes nothing.
+func TestLearnedIsTakenOver(t *testing.T) {
+	old, next := newWorld(t, settings()), newWorld(t, settings())
+	for _, w := range []*world{old, next} {
+		w.full(servers(4, 0))
+	}
+	for id := range ServerID(4) {
+		old.report(id+1, 0.2)
+	}
+	bad := old.placed(old.ask("r", safe))
+	old.end("r", 0, bad, ServerError, false)
+	told := append(old.b.Learned(), Learned{Server: 77, Streak: 1, Out: time.Hour})
+	next.now += time.Second
+	next.send(TimerFired{Token: timerHeld})
+	next.b.Learn(told)
+	if !next.b.Avoids(bad) || next.b.Avoids(77) {
+		t.Error("the server that is left out is not, or an unknown one is")
+	}
+	for id, s := range next.b.servers {
+		if s.load != 0.2 || s.at == 0 {
+			t.Errorf("server %d: load %.2f, reported at %v", id, s.load, s.at)
+		}
+	}
+	for i := range 12 {
+		if s := next.stand(name("r", i), safe); s == bad {
+			t.Error("a client went to the server that is left out")
+		}
+	}
+	next.b.Learn([]Learned{{Server: 1, Load: -3, Age: -1, Each: 9, Streak: -4, Out: -1}})
+	if s := next.b.servers[1]; s.load < 0 || s.each > 1 {
+		t.Errorf("nonsense was taken over: %+v", s)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,5 +104,6 @@
 	MaxChannels int
 	// AwaitList says that this process takes over from one that serves: it is ready once discovery has answered it.
 	AwaitList bool
+	Learned   []decide.Learned // by that one, of the room servers
 	Log       func(text string)
 }
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -121,6 +121,7 @@
 	m.tick()
 	m.handle(decide.Started{})
 	m.resolved(Result{Kind: decide.ListRestored, Instances: m.cfg.Known})
+	m.balancer.Learn(m.cfg.Learned)
 	if m.cfg.AwaitList {
 		m.askList() // at once: nobody waits for this process while another still serves
 		m.deadlines.set(m.now+startWait, m.started)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -22,6 +22,7 @@
 const (
 	takeWait   = time.Second // a running process that has not answered by then does not
 	maxSockets = 8           // that one message may bring
+	maxLearned = 4096        // lines of what was learned
 	longest    = 107         // bytes of a Unix socket's path
 )
 
@@ -29,6 +30,9 @@
 const (
 	takeLine    = "TAKE 1"  // from the new one: asks for the sockets
 	socketsWord = "SOCKETS" // from the old one: their names, with the descriptors
+	learnedLine = "LEARNED" // from the new one: asks for what the old one has learned,
+	learnedWord = "L "      // a line each,
+	endLine     = "END"     // up to this
 	servingLine = "SERVING" // from the new one: it accepts
 )
 
@@ -53,6 +57,8 @@
 // Predecessor is the running process whose sockets were taken over.
 type Predecessor struct {
 	conn *net.UnixConn
+	// Learned are lines that the running process has learned; this package does not read them.
+	Learned []string
 	// Gone is closed when that process has ended.
 	Gone chan struct{}
 }
@@ -81,6 +87,9 @@
 		return s, nil
 	}
 	p := &Predecessor{conn: old, Gone: make(chan struct{})}
+	if p.Learned, err = learned(old); err != nil {
+		log.WithError(err).Warn("hand-over: nothing was learned from the running process") // it serves without
+	}
 	go p.watch() // ends with the connection
 	return s, p
 }
@@ -172,6 +181,31 @@
 	return words[1:], nil
 }
 
+// learned asks for what the old process has learned.
+func learned(conn *net.UnixConn) (lines []string, err error) {
+	conn.SetDeadline(time.Now().Add(takeWait))
+	defer conn.SetDeadline(time.Time{})
+	text := textproto.NewConn(conn)
+	if err := text.PrintfLine(learnedLine); err != nil {
+		return nil, err
+	}
+	for len(lines) <= maxLearned {
+		read, err := textline.Read(text.R)
+		if err != nil {
+			return nil, err
+		}
+		if read == endLine {
+			return lines, nil
+		}
+		told, ok := strings.CutPrefix(read, learnedWord)
+		if !ok {
+			return nil, fmt.Errorf("%.40q is nothing learned", read)
+		}
+		lines = append(lines, told)
+	}
+	return nil, errors.New("the lines do not end")
+}
+
 // watch waits for the end of the connection, which tells that the other process has ended.
 func (p *Predecessor) watch() {
 	defer close(p.Gone)
@@ -198,13 +232,15 @@
 	sockets *Sockets
 	log     *logrus.Logger
 	changed func(Successors)
+	learned func() []string
 	own     os.FileInfo // of the Unix socket, as the actor left it at path
 	actors  sync.WaitGroup
 }
 
-// NewOffer returns an offer at path; changed is called from its actor, one change after the other.
-func NewOffer(path string, sockets *Sockets, changed func(Successors), log *logrus.Logger) *Offer {
-	return &Offer{path: path, sockets: sockets, changed: changed, log: log}
+// NewOffer returns an offer at path; changed is called from its actor, one change after the other. What learned tells
+// goes to a successor, line by line.
+func NewOffer(path string, sockets *Sockets, learned func() []string, changed func(Successors), log *logrus.Logger) *Offer {
+	return &Offer{path: path, sockets: sockets, learned: learned, changed: changed, log: log}
 }
 
 // news of a successor.
@@ -330,8 +366,21 @@
 		if err != nil {
 			return
 		}
-		if said == servingLine {
+		switch said {
+		case servingLine:
 			tell(news{conn: conn, serving: true})
+		case learnedLine:
+			conn.SetWriteDeadline(time.Now().Add(takeWait))
+			for _, l := range append(o.learned(), "") {
+				if l == "" {
+					err = text.PrintfLine(endLine)
+				} else {
+					err = text.PrintfLine("%s%s", learnedWord, l)
+				}
+				if err != nil {
+					return
+				}
+			}
 		}
 	}
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -37,7 +37,7 @@
 	changes = make(chan Successors, 20)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	o := NewOffer(path, s, func(n Successors) { changes <- n }, quiet())
+	o := NewOffer(path, s, func() []string { return []string{"one", "two"} }, func(n Successors) { changes <- n }, quiet())
 	running.Go(func() { o.Serve(ctx) })
 	stop = sync.OnceFunc(func() { cancel(); running.Wait(); l.Close() })
 	t.Cleanup(stop)
@@ -86,6 +86,9 @@
 	io.WriteString(client, "hello\r\n")
 	sockets, predecessor := takes(t, path)
 	wants(t, changes, Successors{Connected: 1})
+	if got := strings.Join(predecessor.Learned, " "); got != "one two" {
+		t.Errorf("learned %q", got)
+	}
 	taken, err := sockets.ListenTCP("clients", address)
 	if err != nil {
 		t.Fatal(err)
