Count a slow line's time from the latest PING, not from a long past accept

A health check that had asked PING for longer and then wrote its line in pieces was dropped with the first piece. The test of the health check sends its line in two pieces now and fails without the change. Ruled out: clients that never ask PING, whose accept and last sign are one.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -34,7 +34,6 @@
 	reopened bool
 	patience time.Duration
 	moved    bool
-	accepted time.Duration
 	since    time.Duration // when it last showed that it lives, or had its answer
 	dropped  bool          // it was shed
 	begun    bool          // bytes of its line have come
@@ -63,7 +62,7 @@
 	}
 	m.post(func() {
 		m.open[c] = struct{}{}
-		c.since, c.accepted = m.now, m.now
+		c.since = m.now
 		c.end = m.deadlines.set(m.now+firstLineWait, ch.Drop)
 	})
 	return c
@@ -76,12 +75,13 @@
 		if c.phase != accepted {
 			return
 		}
-		c.since = m.now
 		if !c.begun {
+			// From the accept, or from the latest PING of a health check, which may stay for long before it asks.
 			c.begun = true
 			m.deadlines.drop(c.end)
-			c.end = m.deadlines.set(c.accepted+begunLineWait, c.ch.Drop)
+			c.end = m.deadlines.set(c.since+begunLineWait, c.ch.Drop)
 		}
+		c.since = m.now
 	})
 }
 
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -327,7 +327,11 @@
 		c.conn.SetDeadline(time.Now().Add(time.Millisecond)) // it has ended by now
 		c.wantEnd()
 	}
-	check.send(opening())
+	// It has its time for a line in pieces too, however long ago it was accepted.
+	open := opening()
+	check.send(open[:20])
+	time.Sleep(100 * time.Millisecond)
+	check.send(open[20:])
 	check.want("UP receipt-1\r\n")
 }
 
