--- a/decide/decide.go
+++ b/decide/decide.go
@@ -541,7 +541,7 @@
 		bad := s.reported > moveLoad || b.now < s.slow && s.reported > moveTarget
 		if len(s.conns) > 0 && bad && b.fresh(s) && s.at > s.movedAt+moveSettle {
 			s.movedAt = b.now
-			// Rounded by chance, not drawn one by one: that often moves none of a few, and the next turn is far.
+			// Rounded by chance, not drawn one by one, which often moves none of a few until the next turn.
 			n := int(float64(len(s.conns))*(1-moveTarget/s.reported) + b.rng.Float64())
 			for _, i := range b.rng.Perm(len(s.conns))[:min(n, len(s.conns))] {
 				s.conns[i].tooMuch = true
