--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -420,7 +420,7 @@
 	m.Shed()
 	silent.wait(t, "drop")
 	over := m.Drain(20 * time.Second) // its moves come late: nothing else holds it up
-	time.Sleep(firstLineWait + 200*time.Millisecond)
+	time.Sleep(firstLineWait + 100*time.Millisecond)
 	m.Begun(c) // renews nothing
 	select {
 	case <-over:
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -344,7 +344,7 @@
 		c, text := b.client(t), opening()
 		writers.Go(func() {
 			c.conn.Write([]byte(text[:cut]))
-			time.Sleep(2200 * time.Millisecond)
+			time.Sleep(2100 * time.Millisecond)
 			c.conn.Write([]byte(text[cut:]))
 			if line, err := c.r.ReadString('\n'); err != nil || line != "UP receipt-1\r\n" {
 				t.Errorf("cut at %d: read %q, %v", cut, line, err)
