--- /dev/null
+++ b/internal/resume/flow.go
@@ -0,0 +1,212 @@
+// Package resume decides how a session goes on at another room server: what a balancer asks whom, in which order, and
+// when the client has to start over. It is pure; a front makes the calls and tells what came of them, the decision
+// module has chosen the room server before. docs/resume.md gives the reasons for this order.
+package resume
+
+import (
+	"time"
+
+	"cottonplank/internal/ledger"
+	"cottonplank/internal/token"
+)
+
+// Reason says why a client has to start over, a word of its own on the wire.
+type Reason uint8
+
+// The reasons. The first six are those of tokens that are refused before anything is asked.
+const (
+	Malformed   Reason = iota // the token is cut, too long or in no known form
+	Version                   // its version is not known
+	UnknownKey                // its key is not known, or no more
+	Forged                    // its key did not seal it
+	Expired                   // its time is over
+	Site                      // another site's balancers sealed it
+	Used                      // the session went on from it already
+	Over                      // the session has ended
+	Gone                      // the room server that held the state has none, or cannot be reached
+	Late                      // the state did not come in time, or the claim on it ran out
+	Large                     // the state is larger than the balancer carries
+	Stale                     // the state is older than what the client knows to be acknowledged
+	Lost                      // whether the move was committed cannot be known
+	Unsupported               // the new room server does not know the extension
+	Off                       // this balancer does not resume sessions
+	Reasons                   // their number
+)
+
+func (r Reason) String() string {
+	return [...]string{"malformed", "version", "unknown-key", "forged", "expired", "site", "used", "over", "gone", "late",
+		"large", "stale", "lost", "unsupported", "off"}[r]
+}
+
+// Refused tells whether the reason lies in the token itself.
+func (r Reason) Refused() bool { return r <= Site }
+
+// Step is what the front does next.
+type Step uint8
+
+// The steps.
+const (
+	Nothing   Step = iota // wait for the next news
+	Locate                // ask the core where Holder is, then tell Located
+	Export                // ask Holder for the state by Claim; its answer goes to HolderSaid
+	OpenBack              // open at the room server, where the session lies
+	OpenMove              // open at the room server, for a state that comes
+	SendState             // write State to the room server
+	Commit                // ask Holder to let the session go; its answer goes to Committed
+	Go                    // tell the room server to attach it
+	Stand                 // the room server's UP may go to the client
+	StartOver             // the one final answer, with Why
+	Later                 // the other final answer: come again after After
+)
+
+// busyWait is told to a client whose session is held by an attach under way; most are over by then.
+const busyWait = 250 * time.Millisecond
+
+// mostHops bounds how many traces are followed: a way of unconfirmed attaches, each cut off.
+const mostHops = 16
+
+// Flow is one request's way to its session. Its methods return the next step.
+type Flow struct {
+	Claim  uint64 // this request's, and the fence of the attach that it makes
+	Holder string // the room server that is to hold the session
+	Ref    token.Ref
+	Via    bool // a trace told Ref, the client has no token of it
+	Next   token.Ref
+	Pos    uint64
+	State  []byte // between the export and the commit
+	Why    Reason
+	After  time.Duration
+
+	known   uint64 // the position that the client's token names
+	target  string
+	back    bool
+	fetched bool
+	asked   bool // Commit was asked and not answered
+	went    bool // Go was said
+	hops    int
+}
+
+// New returns the flow of a token that was opened. claim is a random number, new with each request and not 0.
+func New(t token.Token, claim uint64) *Flow {
+	return &Flow{Claim: claim, Holder: t.Server, Ref: t.Ref, known: t.Position}
+}
+
+// Attempt begins a call attempt at a room server that the decision module chose; the connection to it is up.
+func (f *Flow) Attempt(server string) Step {
+	f.target, f.went, f.back = server, false, false
+	return f.route()
+}
+
+func (f *Flow) route() Step {
+	switch {
+	case f.target == f.Holder:
+		f.back, f.fetched, f.State = true, false, nil
+		return OpenBack
+	case f.fetched:
+		return OpenMove
+	}
+	f.back = false
+	return Locate
+}
+
+// Located tells whether the core knows an address of Holder.
+func (f *Flow) Located(known bool) Step {
+	if !known {
+		return f.over(Gone)
+	}
+	return Export
+}
+
+// HolderSaid takes the answer to Export, or what the room server says in its place to OpenBack.
+func (f *Flow) HolderSaid(a ledger.Answer) Step {
+	switch a.Verdict {
+	case ledger.Granted:
+		if a.Position < f.known {
+			return f.over(Stale)
+		}
+		f.fetched, f.State, f.Pos = true, a.State, a.Position
+		f.Next = token.Ref{Session: f.Ref.Session, Epoch: a.Ref.Epoch + 1, Fence: f.Claim}
+		return OpenMove
+	case ledger.Moved:
+		// Epochs only rise along the traces; what breaks that is no trace.
+		if f.hops++; f.hops > mostHops || a.Ref.Epoch <= f.Ref.Epoch {
+			return f.over(Late)
+		}
+		f.Holder, f.Ref, f.Via = a.To, a.Ref, true
+		return f.route()
+	case ledger.InUse:
+		f.After = max(a.Wait, busyWait)
+		return Later
+	case ledger.Used:
+		return f.over(Used)
+	case ledger.Over:
+		return f.over(Over)
+	case ledger.Large:
+		return f.over(Large)
+	}
+	return f.over(Gone)
+}
+
+// HolderLost tells that the connection to Holder broke or brought no timely answer. With it ends the claim.
+func (f *Flow) HolderLost(late bool) Step {
+	switch {
+	case f.asked:
+		return f.over(Lost)
+	case f.fetched:
+		// The state is here, but whether another balancer has claimed it meanwhile cannot be known.
+		f.fetched, f.State = false, nil
+		return f.over(Lost)
+	case late:
+		return f.over(Late)
+	}
+	return f.over(Gone)
+}
+
+// Ready tells that the room server waits for the state.
+func (f *Flow) Ready() Step {
+	if f.back || !f.fetched || f.went {
+		return f.over(Unsupported)
+	}
+	return SendState
+}
+
+// Held tells that the room server holds the session, not attached yet where it came by a move.
+func (f *Flow) Held(epoch, position uint64) Step {
+	if f.back {
+		if position < f.known {
+			return f.over(Stale)
+		}
+		f.Next = token.Ref{Session: f.Ref.Session, Epoch: epoch, Fence: f.Claim}
+		f.went, f.Pos = true, position
+		return Go
+	}
+	if !f.fetched || f.asked || f.went {
+		return f.over(Unsupported)
+	}
+	f.asked = true
+	return Commit
+}
+
+// Committed takes the answer to Commit. From a yes on, the session lies at the room server of this attempt.
+func (f *Flow) Committed(yes bool) Step {
+	f.asked, f.fetched, f.State = false, false, nil
+	if !yes {
+		return f.over(Late)
+	}
+	f.Holder, f.Ref, f.Via = f.target, f.Next, true
+	f.went = true
+	return Go
+}
+
+// Up tells that the room server lets the connection stand.
+func (f *Flow) Up() Step {
+	if !f.went {
+		return f.over(Unsupported) // it took the line for one without a session: the board there is empty
+	}
+	return Stand
+}
+
+func (f *Flow) over(why Reason) Step {
+	f.Why, f.State, f.fetched = why, nil, false
+	return StartOver
+}
