--- /dev/null
+++ b/cmd/cottonplank-lab/main.go
@@ -0,0 +1,128 @@
+// Command cottonplank-lab plays experiments with real balancers against stand-ins, on loopback, and checks the rules.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"cottonplank/internal/lab"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit statuses.
+const (
+	kept   = 0
+	broken = 1 // a rule or an invariant broke, or the run itself failed
+	bad    = 2 // a bad file, or bad usage
+)
+
+// status is an error that has an exit status of its own.
+type status struct {
+	code int
+	error
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run returns the exit status.
+func run(ctx context.Context, args []string, out, errs io.Writer) int {
+	root := &cobra.Command{Use: "cottonplank-lab", Short: "Experiments with cottonplank on loopback", SilenceErrors: true,
+		SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
+	root.SetOut(out)
+	root.SetErr(errs)
+	root.SetArgs(args)
+	var program string
+	var asJSON bool
+	root.PersistentFlags().StringVar(&program, "balancer", "", "the balancer's `program`; default: cottonplank beside this one")
+	say := func(line string) { fmt.Fprintln(errs, line) }
+	play := &cobra.Command{Use: "run FILE", Short: "Play an experiment", Args: cobra.ExactArgs(1),
+		Long: "Play an experiment. The exit status is 0 if all rules and invariants were kept, 1 if one broke or the run failed,\n" +
+			"and 2 for a bad file. Progress goes to standard error.",
+		RunE: func(c *cobra.Command, args []string) error {
+			e, err := lab.Load(args[0])
+			if err != nil {
+				return status{bad, err}
+			}
+			return experiment(c.Context(), program, e, asJSON, out, say)
+		}}
+	play.Flags().BoolVar(&asJSON, "json", false, "print one JSON object and nothing else on standard output")
+	demo := &cobra.Command{Use: "demo", Short: "Run a small fleet for some seconds and tell what happens", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			say(demoText)
+			e, err := lab.Parse([]byte(demoExperiment))
+			if err != nil {
+				return status{bad, err}
+			}
+			return experiment(c.Context(), program, e, false, out, say)
+		}}
+	root.AddCommand(play, demo)
+	called, err := root.ExecuteContextC(ctx)
+	if err == nil {
+		return kept
+	}
+	fmt.Fprintf(errs, "%s: %v\n", called.CommandPath(), err)
+	var s status
+	if errors.As(err, &s) {
+		return s.code
+	}
+	fmt.Fprint(errs, called.UsageString())
+	return bad
+}
+
+const demoText = `Two balancers, three room servers and 60 players start on loopback. After 4 s one room server drains: its
+players are sent away, come back through either balancer with their tokens, and play on where they were. After 7 s one
+balancer is killed.`
+
+const demoExperiment = `{"name":"demo","balancers":2,"rooms":3,"sessions":60,"fill_s":2,"seconds":9,"troubles":[
+{"at_s":4,"do":"drain","room":0},{"at_s":7,"do":"kill","balancer":0}]}`
+
+// experiment plays e, and once more without tokens where it asks for that.
+func experiment(ctx context.Context, program string, e lab.Experiment, asJSON bool, out io.Writer, say func(string)) error {
+	if program == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return status{broken, err}
+		}
+		program = filepath.Join(filepath.Dir(own), "cottonplank")
+	}
+	if _, err := os.Stat(program); err != nil {
+		return status{bad, fmt.Errorf("balancer: %w", err)}
+	}
+	result, err := lab.Run(ctx, program, e, say)
+	if err != nil {
+		return status{broken, err}
+	}
+	if e.Beside {
+		e.Tokens = false
+		say("the same without tokens")
+		without, err := lab.Run(ctx, program, e, say)
+		if err != nil {
+			return status{broken, err}
+		}
+		result.Without = &without
+	}
+	if asJSON {
+		err = json.NewEncoder(out).Encode(result)
+	} else {
+		err = result.Table(out)
+	}
+	if err != nil {
+		return status{broken, err}
+	}
+	if !result.Sound() {
+		return status{broken, errors.New("a rule or an invariant broke")}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,292 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"cottonplank/internal/rules"
+	"cottonplank/internal/standin"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The figures of the rules, as on the platform.
+const (
+	drainGrace = 500 * time.Millisecond
+	ruleSlack  = 50 * time.Millisecond
+	within     = 500 * time.Millisecond // a session that is back by then was moved well
+	settle     = 2 * time.Second        // after the last second, for moves under way
+)
+
+// Run plays an experiment with the balancer's program. say gets a line now and then.
+func Run(ctx context.Context, program string, e Experiment, say func(string)) (Result, error) {
+	dir, err := os.MkdirTemp("", "cottonplank-lab-")
+	if err != nil {
+		return Result{}, err
+	}
+	defer os.RemoveAll(dir)
+	r := &run{e: e, program: program, dir: dir, say: say, recorder: rules.NewRecorder(rules.Figures{DrainGrace: drainGrace,
+		Slack: ruleSlack}), front: standin.NewFront(e.Seed), keys: keys{path: filepath.Join(dir, "keys.json")},
+		result: Result{Name: e.Name, Tokens: e.Tokens, Sessions: e.Sessions, Reasons: map[string]int{}, Balancers: map[string]uint64{}},
+		took:   hdrhistogram.New(1, 60_000_000, 3)}
+	defer r.close()
+	if err := r.open(ctx); err != nil {
+		return r.result, err
+	}
+	err = r.play(ctx)
+	return r.result, err
+}
+
+// run is one experiment while it is played.
+type run struct {
+	e         Experiment
+	program   string
+	dir       string
+	say       func(string)
+	recorder  *rules.Recorder
+	front     *standin.Front
+	discovery *standin.Discovery
+	rooms     []*standin.Room
+	balancers []*balancer
+	alive     []bool
+	keys      keys
+	players   []*standin.Player
+	tally     standin.Tally
+	lagging   sync.WaitGroup
+
+	mu     sync.Mutex // of what the tally's functions write
+	took   *hdrhistogram.Histogram
+	result Result
+}
+
+// open starts the room servers, discovery and the balancers.
+func (r *run) open(ctx context.Context) (err error) {
+	r.discovery = standin.NewDiscovery(r.recorder)
+	for i := range r.e.Rooms {
+		room, err := standin.NewRoom(standin.RoomConfig{Name: fmt.Sprintf("s-%d", i), Capacity: r.e.Capacity, Keeps: true,
+			State: r.e.State, Recorder: r.recorder})
+		if err != nil {
+			return err
+		}
+		r.rooms = append(r.rooms, room)
+		r.discovery.Set(room, "a", "active")
+	}
+	if err := r.keys.add(); err != nil {
+		return err
+	}
+	fronts, err := json.Marshal(map[string]any{"resume": map[string]any{"keys": "keys.json", "site": "lab",
+		"max_state_bytes": max(r.e.State, 8)}})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(r.dir, "fronts.json"), fronts, 0o600); err != nil {
+		return err
+	}
+	for i := range r.e.Balancers {
+		name := fmt.Sprintf("n%d", i)
+		discovery, err := r.discovery.For(name)
+		if err != nil {
+			return err
+		}
+		b, err := newBalancer(r.program, r.dir, name, r.e, discovery, r.discovery.Known())
+		if err != nil {
+			return err
+		}
+		if err := b.start(ctx); err != nil {
+			return err
+		}
+		r.balancers, r.alive = append(r.balancers, b), append(r.alive, true)
+		r.front.Add(b.name, b.address)
+	}
+	return nil
+}
+
+// close ends all that open started.
+func (r *run) close() {
+	var all sync.WaitGroup
+	for i, b := range r.balancers {
+		if r.alive[i] {
+			all.Go(func() { b.stop() })
+		}
+	}
+	all.Wait()
+	for _, room := range r.rooms {
+		room.Stop()
+	}
+	if r.discovery != nil {
+		r.discovery.Stop()
+	}
+}
+
+func (r *run) play(ctx context.Context) error {
+	r.tally.Resume = func(d time.Duration) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.took.RecordValue(max(d.Microseconds(), 1))
+		if d <= within {
+			r.result.ResumedWithin++
+		}
+	}
+	r.tally.Why = func(reason string) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.result.Reasons[reason]++
+	}
+	playing, stop := context.WithCancel(ctx)
+	defer stop()
+	var all sync.WaitGroup
+	cfg := standin.PlayerConfig{Front: r.front, Recorder: r.recorder, Class: "solo-play", Tenant: "lab", Tokens: r.e.Tokens,
+		Patience: millis(r.e.Patience), Every: millis(r.e.Every), Tally: &r.tally}
+	for i := range r.e.Sessions {
+		p := standin.NewPlayer(cfg, r.e.Seed*1_000_003+uint64(i), fmt.Sprintf("room-%d", i/r.e.Group))
+		r.players = append(r.players, p)
+		comes := time.Duration(float64(i) / float64(r.e.Sessions) * r.e.Fill * float64(time.Second))
+		all.Go(func() {
+			select {
+			case <-playing.Done():
+			case <-time.After(comes):
+				p.Play(playing)
+			}
+		})
+	}
+	start := time.Now()
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+	troubles := r.e.Troubles
+	end := time.After(r.e.length() + settle)
+	for running := true; running; {
+		var due <-chan time.Time
+		if len(troubles) > 0 {
+			due = time.After(time.Until(start.Add(time.Duration(troubles[0].At * float64(time.Second)))))
+		}
+		select {
+		case <-ctx.Done():
+			stop()
+			all.Wait()
+			return ctx.Err()
+		case <-end:
+			running = false
+		case <-due:
+			r.say(fmt.Sprintf("%4.1f s  %s", time.Since(start).Seconds(), troubles[0]))
+			if err := r.trouble(ctx, troubles[0]); err != nil {
+				return err
+			}
+			troubles = troubles[1:]
+		case <-second.C:
+			r.progress(time.Since(start))
+		}
+	}
+	for i, b := range r.balancers {
+		if r.alive[i] {
+			if err := b.figures(r.result.Balancers); err != nil {
+				return err
+			}
+		}
+	}
+	stop()
+	all.Wait()
+	r.lagging.Wait()
+	for _, p := range r.players {
+		p.Finish()
+	}
+	r.finish()
+	return nil
+}
+
+// trouble makes one thing go wrong.
+func (r *run) trouble(ctx context.Context, t Trouble) error {
+	switch t.Do {
+	case "drain":
+		room := r.rooms[t.Room]
+		r.later(r.e.RollLag, func() { r.discovery.Set(room, "a", "leaving") })
+		room.Drain()
+	case "return":
+		r.rooms[t.Room].Return()
+		r.later(r.e.RollLag, func() { r.discovery.Set(r.rooms[t.Room], "a", "active") })
+	case "crash":
+		room := r.rooms[t.Room]
+		r.later(r.e.RollLag, func() { r.discovery.Set(room, "a", "left") })
+		room.Stop()
+	case "kill":
+		if r.alive[t.Balancer] {
+			b := r.balancers[t.Balancer]
+			r.recorder.Add(rules.Event{Kind: rules.Killed, Balancer: b.name})
+			r.alive[t.Balancer] = false
+			b.kill()
+			r.later(r.e.Notice, func() { r.front.Remove(b.name) })
+		}
+	case "restart":
+		b := r.balancers[t.Balancer]
+		if r.alive[t.Balancer] {
+			r.alive[t.Balancer] = false
+			// The front deals it no more once its PING says no, as the platform's does.
+			r.later(r.e.Notice, func() { r.front.Remove(b.name) })
+			if err := b.stop(); err != nil {
+				return err
+			}
+		}
+		r.recorder.Add(rules.Event{Kind: rules.Fresh, Balancer: b.name})
+		if err := b.start(ctx); err != nil {
+			return err
+		}
+		r.alive[t.Balancer] = true
+		r.front.Add(b.name, b.address)
+	case "replay":
+		for _, p := range r.players[:int(t.Share*float64(len(r.players)))] {
+			p.Replay()
+		}
+	case "rotate":
+		if err := r.keys.add(); err != nil {
+			return err
+		}
+		for i, b := range r.balancers {
+			if r.alive[i] {
+				b.process.Process.Signal(syscall.SIGHUP)
+			}
+		}
+	}
+	return nil
+}
+
+// later does something after a lag.
+func (r *run) later(ms int, do func()) {
+	r.lagging.Add(1)
+	time.AfterFunc(millis(ms), func() {
+		defer r.lagging.Done()
+		do()
+	})
+}
+
+func (r *run) progress(at time.Duration) {
+	open := 0
+	for _, room := range r.rooms {
+		open += room.Open()
+	}
+	r.say(fmt.Sprintf("%4.0f s  %d of %d play, %d moved, %d resumed, %d started over", at.Seconds(), open, r.e.Sessions,
+		r.tally.Moved.Load()+r.tally.Broke.Load(), r.tally.Resumed.Load(), r.tally.StartedOver.Load()))
+}
+
+// finish reads the counts off.
+func (r *run) finish() {
+	report := r.recorder.Report()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := &r.result
+	res.Moved = int(r.tally.Moved.Load() + r.tally.Broke.Load())
+	res.Resumed, res.StartedOver = int(r.tally.Resumed.Load()), int(r.tally.StartedOver.Load())
+	res.Refused, res.Failed = int(r.tally.Refused.Load()), int(r.tally.Failed.Load())
+	res.Raced, res.RacedUp = int(r.tally.Raced.Load()), int(r.tally.RacedUp.Load())
+	res.Replays, res.ReplaysUp = int(r.tally.Replays.Load()), int(r.tally.ReplaysUp.Load())
+	res.AttachedTwice, res.Lost = report.AttachedTwice+report.EpochsBack, report.Lost
+	res.RulesBroken, res.Broken = len(report.Broken), report.Broken
+	if r.took.TotalCount() > 0 {
+		res.P50 = float64(r.took.ValueAtQuantile(50)) / 1000
+		res.P99 = float64(r.took.ValueAtQuantile(99)) / 1000
+	}
+}
--- a/internal/resume/flow.go
+++ b/internal/resume/flow.go
@@ -148,7 +148,10 @@
 		f.Holder, f.Ref, f.Via = a.To, a.Ref, true
 		return f.route()
 	case ledger.InUse:
-		f.After = max(a.Wait, busyWait)
+		f.After = busyWait
+		if a.Wait > 0 {
+			f.After = min(a.Wait, busyWait) // a claim ends with its move, mostly long before it runs out
+		}
 		return Later
 	case ledger.Used:
 		return f.over(Used)
--- a/internal/rules/recorder.go
+++ b/internal/rules/recorder.go
@@ -16,7 +16,12 @@
 func NewRecorder(f Figures) *Recorder { return &Recorder{start: time.Now(), checker: New(f)} }
 
 // Now is the time since the start, as in Event.
-func (r *Recorder) Now() time.Duration { return time.Since(r.start) }
+func (r *Recorder) Now() time.Duration {
+	if r == nil {
+		return 0
+	}
+	return time.Since(r.start)
+}
 
 // Add adds an event that happens now. A nil recorder takes nothing.
 func (r *Recorder) Add(e Event) {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -22,8 +23,9 @@
 	Killed               // Balancer: a balancer was killed; what it had taken is nobody's fault
 	Began                // Request, Server: a room server has an attempt's first line
 	Ended                // Request, Server: the attempt is over there
-	Told                 // Server: discovery has told that it drains or is gone
-	Ready                // Server: discovery has told that it serves (again)
+	Fresh                // Balancer: a process began under this name, and was told nothing yet
+	Told                 // Balancer, Server: discovery has told it that the room server drains or is gone
+	Ready                // Balancer, Server: discovery has told it that the room server serves (again)
 	Fell                 // Server: it was pushed over while cold
 	Attached             // Session, Epoch, Server: a room server has let a client play
 	Detached             // Session, Server: it does not any more
@@ -67,7 +69,7 @@
 type Checker struct {
 	figures  Figures
 	requests map[string]*request
-	told     map[string]time.Duration
+	told     map[[2]string]time.Duration // by balancer and room server
 	sessions map[string]*session
 	report   Report
 }
@@ -90,7 +92,7 @@
 
 // New returns a checker.
 func New(f Figures) *Checker {
-	return &Checker{figures: f, requests: map[string]*request{}, told: map[string]time.Duration{},
+	return &Checker{figures: f, requests: map[string]*request{}, told: map[[2]string]time.Duration{},
 		sessions: map[string]*session{}}
 }
 
@@ -152,12 +154,14 @@
 			delete(r.out, e.Server)
 			c.second(r, e.Request, e.Server, e.At)
 		}
+	case Fresh:
+		maps.DeleteFunc(c.told, func(k [2]string, _ time.Duration) bool { return k[0] == e.Balancer })
 	case Told:
-		if _, ok := c.told[e.Server]; !ok {
-			c.told[e.Server] = e.At
+		if _, ok := c.told[[2]string{e.Balancer, e.Server}]; !ok {
+			c.told[[2]string{e.Balancer, e.Server}] = e.At
 		}
 	case Ready:
-		delete(c.told, e.Server)
+		delete(c.told, [2]string{e.Balancer, e.Server})
 	case Fell:
 		c.breaks("%v: the cold room server %s was pushed over", e.At, e.Server)
 	default:
@@ -173,8 +177,8 @@
 		}
 	}
 	r.out[e.Server]++
-	if at, ok := c.told[e.Server]; ok && e.At > at+c.figures.DrainGrace+c.figures.Slack {
-		c.breaks("%v: request %s came to %s %v after it was told to drain", e.At, e.Request, e.Server, e.At-at)
+	if at, ok := c.told[[2]string{r.balancer, e.Server}]; ok && e.At > at+c.figures.DrainGrace+c.figures.Slack {
+		c.breaks("%v: request %s came to %s %v after %s was told that it drains", e.At, e.Request, e.Server, e.At-at, r.balancer)
 	}
 }
 
--- a/internal/standin/room.go
+++ b/internal/standin/room.go
@@ -106,8 +106,13 @@
 // Address is where balancers find it.
 func (s *Room) Address() string { return s.l.Addr().String() }
 
-// Started is when it started.
-func (s *Room) Started() time.Time { return s.started }
+// startedMs is when it started, for discovery: 0, long ago, for one that has no cold start.
+func (s *Room) startedMs() int64 {
+	if s.cfg.ColdFor == 0 {
+		return 0
+	}
+	return s.started.UnixMilli()
+}
 
 // Misbehave sets its faults.
 func (s *Room) Misbehave(f Faults) {
