--- a/cmd/cottonplank/main_test.go
+++ b/cmd/cottonplank/main_test.go
@@ -15,6 +15,11 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"cottonplank/internal/config"
+	"cottonplank/internal/line"
+
+	"github.com/sirupsen/logrus"
 )
 
 // serveVariable makes the test's program serve, so that tests can send signals to a process of its own.
@@ -87,6 +92,53 @@
 	}
 }
 
+// A reload is of all files or of none: a keys file that is faulty, or open to others, keeps the old discovery as well.
+func TestReloadIsAllOrNothing(t *testing.T) {
+	dir := t.TempDir()
+	path, keys := filepath.Join(dir, "config.json"), filepath.Join(dir, "keys.json")
+	replace(t, path, `{"name":"n3","listen":"127.0.0.4:9000","discovery":"127.2.0.1:8500","seed":"8c","settings":{"zone":"a",
+"membership_mode":"subscribe","profiles":[{"name":"solo-play","aim_s":0.3,"give_up_s":1.2,"repeat":"idempotent"}]}}`)
+	t.Setenv("PROXY_CONFIG", path)
+	resume := config.Resume{KeysFile: keys, Site: "armor", Life: time.Hour}
+	var out bytes.Buffer
+	if run([]string{"keys", "new", "--file", keys}, &out, &out) != 0 {
+		t.Fatal(out.String())
+	}
+	ring, err := resume.Ring()
+	if err != nil {
+		t.Fatal(err)
+	}
+	resuming := line.NewResuming(line.ResumeLimits{Site: "armor", Life: time.Hour, MaxBytes: 1, MaxMoves: 1}, ring)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	hangup, taken := make(chan os.Signal), make(chan string, 10)
+	go reloads(t.Context(), hangup, func(address string) { taken <- address }, resume, resuming, log)
+	reload := func(want int) {
+		t.Helper()
+		hangup <- syscall.SIGHUP
+		hangup <- syscall.SIGHUP // taken once the first is done with
+		if n := len(taken); n < want || want == 0 && n > 0 {
+			t.Errorf("%d taken over, want %d", n, want)
+		}
+		for len(taken) > 0 {
+			<-taken
+		}
+	}
+	reload(1)
+	if err := os.Chmod(keys, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // for the second of the two before
+	for len(taken) > 0 {
+		<-taken
+	}
+	reload(0)
+	os.Remove(keys)
+	reload(0)
+	replace(t, keys, `{"keys":[]}`)
+	reload(0)
+}
+
 // SIGHUP turns the running program to the discovery that the file now names, before PROXY_DISCOVERY; a client's
 // connection stays. A faulty file changes nothing, and SIGHUP in a planned stop is harmless.
 func TestReload(t *testing.T) {
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -156,18 +156,25 @@
 
 // client is a stand-in client.
 type client struct {
-	t    *testing.T
+	t    testing.TB
 	conn *net.TCPConn
 	r    *bufio.Reader
 }
 
-func (b *balancer) client(t *testing.T) *client {
+func (b *balancer) client(t testing.TB) *client {
 	t.Helper()
-	conn, err := net.Dial("tcp", b.addr)
+	c := dial(t, b.addr)
+	t.Cleanup(func() { c.conn.Close() })
+	return c
+}
+
+// dial dials a client that its caller closes.
+func dial(t testing.TB, addr string) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { conn.Close() })
 	conn.SetDeadline(time.Now().Add(20 * time.Second)) // so that no test hangs
 	return &client{t, conn.(*net.TCPConn), bufio.NewReader(conn)}
 }
--- a/internal/line/resume_test.go
+++ b/internal/line/resume_test.go
@@ -25,14 +25,14 @@
 
 // site is some balancers before some room servers that keep sessions, with one ring of keys.
 type site struct {
-	t         *testing.T
+	t         testing.TB
 	rooms     []*standin.Room
 	balancers []*balancer
 	key       token.Key
 	limits    ResumeLimits
 }
 
-func newSite(t *testing.T, balancers int, rooms ...standin.RoomConfig) *site {
+func newSite(t testing.TB, balancers int, rooms ...standin.RoomConfig) *site {
 	t.Helper()
 	key, err := token.NewKey(time.Now().Add(-time.Hour), time.Now().Add(time.Hour), zeros{})
 	if err != nil {
@@ -514,6 +514,45 @@
 	}
 }
 
+// The new room server dies while the move waits for its commit: the balancer asks what became of it and brings the
+// session to a third one.
+func TestNewOneDies(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, keeps, keeps, keeps)
+	c, _ := s.begin(s.balancers[0], 0, 3)
+	tok := s.move(c, 0, 1)
+	s.rooms[0].Misbehave(standin.Faults{StallCommit: true})
+	c = s.present(s.balancers[0], tok)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if held, _ := s.rooms[1].Sessions(); held == 1 {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("the state did not come")
+		}
+	}
+	s.rooms[0].Misbehave(standin.Faults{})
+	s.only(2)
+	s.rooms[1].Stop()
+	c.hasBoard(3, 1)
+}
+
+// A lame duck's clients get their tokens with MOVE and go on at another balancer, where they are. Guards moves that a
+// balancer makes itself, as for overload and in a planned stop.
+func TestMovedByTheBalancer(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2, keeps)
+	c, first := s.begin(s.balancers[0], 0, 3)
+	if err := s.balancers[0].module.LameDuck(5 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	tok, ok := strings.CutPrefix(c.line(), "TOKEN ")
+	if !ok || tok == first {
+		t.Fatalf("read %q", tok)
+	}
+	c.want("MOVE\r\n")
+	s.present(s.balancers[1], tok).hasBoard(3, 1)
+}
+
 // A whole puzzle room of 60 is moved at once: all of it goes on, at one room server.
 func TestWholeRoom(t *testing.T) {
 	t.Parallel()
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -96,6 +96,22 @@
 	}
 }
 
+// What came of tokens is told where sessions are resumed, and only there.
+func TestInfoOfTokens(t *testing.T) {
+	s := &core.Snapshot{Resumes: true}
+	s.Given, s.Resumed, s.StartedOver = 3, 2, map[core.Reason]uint64{"gone": 4, "forged": 5}
+	server := New(nil, nil, 1, nil)
+	for _, want := range []string{"svc.tokens_given=3\r\n", "svc.resumed=2\r\n", "svc.started_over.gone=4\r\n",
+		"svc.token_refused.forged=5\r\n", "svc.started_over.late=0\r\n"} {
+		if got := server.info(s); !strings.Contains(got, want) {
+			t.Errorf("%q lacks %q", got, want)
+		}
+	}
+	if s.Resumes = false; strings.Contains(server.info(s), "token") {
+		t.Error("told where it is off")
+	}
+}
+
 // Callers that send nothing, or half a call, hold up nobody, however many they are, and are put out.
 func TestSilentCallers(t *testing.T) {
 	t.Parallel()
--- a/internal/snmp/agent_test.go
+++ b/internal/snmp/agent_test.go
@@ -27,8 +27,9 @@
 func snapshot() *core.Snapshot {
 	s := &core.Snapshot{ClassCounters: core.ClassCounters{Served: 5, Refused: 4, Failed: 3, Attempts: 9},
 		Classes: []core.ClassCounters{{Served: 4}, {Served: 1, Refused: 4}}, Service: core.LameDuck, Standing: 8,
-		Counters: core.Counters{Moves: 2, Probes: 7},
-		Started:  time.Now().Add(-time.Minute), ListAt: time.Now().Add(-3 * time.Second), Open: 6, Waiting: 1}
+		Counters: core.Counters{Moves: 2, Probes: 7, ResumeCounters: core.ResumeCounters{Given: 11, Resumed: 12,
+			StartedOver: map[core.Reason]uint64{"gone": 13}}},
+		Started: time.Now().Add(-time.Minute), ListAt: time.Now().Add(-3 * time.Second), Open: 6, Waiting: 1}
 	for i := range 14 {
 		name := fmt.Sprintf("s-%d", i)
 		s.Subchannels = append(s.Subchannels, core.SubchannelRow{Zone: "a", State: decide.Draining, Open: i, Load: 0.5,
@@ -129,7 +130,8 @@
 			values[v.Name] = v.Value
 		}
 		for oid, want := range map[string]any{objects + ".1.0": uint64(5), objects + ".9.0": uint(6),
-			objects + ".8.0": uint(3), objects + ".11.0": uint(8), objects + ".14.0": 3, byClass + ".4.2": uint64(4), entry + ".5." + fmt.Sprint(core.ServerID("s-3")): 2,
+			objects + ".8.0": uint(3), objects + ".11.0": uint(8), objects + ".14.0": 3, objects + ".16.0": uint64(11), objects + ".18.0": uint64(12),
+			byWhy + ".3." + fmt.Sprint(int(resume.Gone)+1): uint64(13), byWhy + ".3.1": uint64(0), byClass + ".4.2": uint64(4), entry + ".5." + fmt.Sprint(core.ServerID("s-3")): 2,
 			entry + ".8." + fmt.Sprint(core.ServerID("s-3")): 500} {
 			if values[oid] != want {
 				t.Errorf("%s: %s is %v (%T), want %v", name, oid, values[oid], values[oid], want)
--- a/internal/standin/room.go
+++ b/internal/standin/room.go
@@ -27,6 +27,7 @@
 	Capacity int  // connections that it can serve; past it new ones are turned away
 	Keeps    bool // it knows the resumption
 	State    int  // bytes of a session's state
+	Load     int  // of a connection, in microseconds of work a second, told by LOAD; 0: it tells none
 	Recorder *rules.Recorder
 
 	// A cold start: it sets up ColdShare of Setups connections a second at first, and all after ColdFor. Sent more than
@@ -408,6 +409,9 @@
 	c.stands = true
 	s.mu.Unlock()
 	up := fmt.Sprintf("UP %s-%d", s.cfg.Name, c.id)
+	if s.cfg.Load > 0 {
+		kept = strings.TrimPrefix(kept+fmt.Sprintf("\r\nLOAD %d", s.cfg.Load), "\r\n")
+	}
 	if kept != "" {
 		up += "\r\n" + kept
 	}
