Keep clients from telling room servers what only a balancer may

A client could write the field session itself, and EXPORT on its standing connection, and so reach for another's session if it knew the names of its hold. With the extension on, such a first line is answered as failed; a room server takes EXPORT and COMMIT only on connections that have had no first line. Off, the field passes as any other, which the test of the wire holds.

--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -223,7 +223,8 @@
 // begin hands the request to the core.
 func (c *channel) begin(line string, at time.Time) {
 	first, err := parseFirst(line, c.front.names)
-	if err != nil {
+	// Guards sessions against a client that tells a room server to attach one, as only a balancer may.
+	if err != nil || first.session && c.front.resuming != nil {
 		c.front.module.Malformed(c.call)
 		return
 	}
--- a/internal/line/first.go
+++ b/internal/line/first.go
@@ -29,6 +29,7 @@
 	load      float64       // the guess at the load, in seconds of work a second; 0: none
 	returning bool
 	resume    string // what it says of a session; empty: nothing
+	session   bool   // it says what only a balancer says to a room server
 	at        string // the instance at which it was open before
 
 	head, tail string // the line before and after the figure of d
@@ -128,6 +129,8 @@
 		f.load = us
 	case "resume":
 		f.resume = value
+	case resumeline.FieldName:
+		f.session = true
 	case "again":
 		f.returning = value == "1"
 	case "at":
--- a/internal/line/resume_test.go
+++ b/internal/line/resume_test.go
@@ -422,17 +422,17 @@
 	forged := s.key
 	forged.Secret = other.key.Secret
 	nothing := func(*token.Token) {}
+	spoof := s.balancers[0].client(t)
+	spoof.send(strings.Replace(opening(), "\r\n", ",session="+resumeline.Open{Mode: resumeline.Back}.String()+"\r\n", 1))
+	spoof.want("ERR\r\n")
 	for text, why := range map[string]string{
-		tok[:40]: "malformed", "": "", "7" + tok[1:]: "version", seal(other.key, nothing): "unknown-key",
+		tok[:40]: "malformed", "7" + tok[1:]: "version", seal(other.key, nothing): "unknown-key",
 		seal(forged, nothing): "forged",
 		seal(s.key, func(v *token.Token) { v.Expires = time.Now().Add(-time.Hour) }): "expired",
 		seal(s.key, func(v *token.Token) { v.Site = "brest" }):                       "site",
 		seal(s.key, func(v *token.Token) { v.Room = "other" }):                       "room",
 		seal(s.key, nothing): "gone", // a sound one of a session that nobody knows
 	} {
-		if why == "" {
-			continue
-		}
 		s.answered(s.balancers[0], text, "ANEW "+why, time.Second)
 	}
 	s.present(s.balancers[0], tok).hasBoard(1, 1)
@@ -444,7 +444,8 @@
 	const said = "UP receipt-1\r\nKEPT 1 0\r\nPOS 3\r\nTOKEN x\r\nMOVE\r\n"
 	server := newServer(t, "s-1", say(said))
 	b := newBalancer(t, server)
-	for _, text := range []string{resumes("new"), resumes("1.0a0b0c0d.AAAA"), opening()} {
+	for _, text := range []string{resumes("new"), resumes("1.0a0b0c0d.AAAA"), opening(),
+		strings.Replace(opening(), "\r\n", ",session=new\r\n", 1)} {
 		c := b.client(t)
 		c.send(text)
 		got, err := io.ReadAll(c.r)
--- a/internal/standin/room.go
+++ b/internal/standin/room.go
@@ -260,9 +260,9 @@
 	case "OPEN":
 		return !c.stands && c.open(line)
 	case "EXPORT":
-		return c.room.cfg.Keeps && c.export(line)
+		return c.room.cfg.Keeps && c.request == "" && c.export(line)
 	case "COMMIT":
-		return c.room.cfg.Keeps && c.commit(line)
+		return c.room.cfg.Keeps && c.request == "" && c.commit(line)
 	case resumeline.Go:
 		return c.goes()
 	case resumeline.Have:
