Speak to a service supervisor, with a sign of life that comes from the actors

internal/supervise tells READY, RELOADING with its monotonic time, STOPPING with the time that a stop needs, STATUS, MAINPID for a new version, and WATCHDOG only while the module, the list and the fronts turn; a stuck one is named in the log. Sockets that the supervisor passes on are used by name, after those of a running process. The protocol is go-systemd's; one actor writes it, so that a supervisor that hangs holds up nobody.

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -21,6 +21,7 @@
 	"cottonplank/internal/quic"
 	"cottonplank/internal/resolver"
 	"cottonplank/internal/snmp"
+	"cottonplank/internal/supervise"
 	"cottonplank/internal/token"
 
 	"github.com/sirupsen/logrus"
@@ -85,9 +86,11 @@
 	log.SetOutput(os.Stderr)
 	path := handover.Path(os.TempDir(), cfg.Listen)
 	sockets, predecessor := handover.Take(path, log)
+	sockets.Offer(supervise.Sockets())
+	marks := &supervise.Marks{}
 	cfg.Share(predecessor != nil).Apply()
 	module, err := core.New(core.Config{Settings: cfg.Settings, Known: cfg.Known, MaxChannels: cfg.MaxChannels,
-		AwaitList: predecessor != nil, StateWait: stateWait(fronts.Resume), Learned: learned(predecessor, log), Log: func(text string) { log.Info(text) }})
+		AwaitList: predecessor != nil, StateWait: stateWait(fronts.Resume), Turns: marks.New("module"), Learned: learned(predecessor, log), Log: func(text string) { log.Info(text) }})
 	if err != nil {
 		return err
 	}
@@ -119,6 +122,7 @@
 		if connectionIDs, err = quicFront(cfg, fronts.QUIC, conn, module, log); err != nil {
 			return err
 		}
+		connectionIDs.Watch(marks.New("quic front"))
 		connectionIDsPause = pauseUDP(conn)
 	}
 	var agent *snmp.Agent
@@ -131,6 +135,10 @@
 		agentPause = pauseUDP(conn)
 	}
 
+	for _, name := range sockets.Unused() {
+		log.WithField("socket", name).Warn("a socket that was passed on has no use here: no front of that name, or another address")
+	}
+
 	// Caught until the process ends, also in a planned stop: uncaught, SIGHUP would end it.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
@@ -139,9 +147,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 
+	supervisor, err := supervise.NewNotifier(marks, func() string { return status(module.Snapshot()) }, log)
+	if err != nil {
+		return err
+	}
 	prober := line.NewProber(ctx, module)
 	list := resolver.New(cfg.Discovery, cfg.Generation, module, log)
+	list.Watch(marks.New("list"))
 	front := line.New(module, names(cfg), line.Budget{Descriptors: cfg.Descriptors, DialSpare: cfg.DialSpare}, log)
+	front.Watch(marks.New("clients' front"))
 	var resuming *line.Resuming
 	if ring != nil {
 		r := fronts.Resume
@@ -162,7 +176,9 @@
 		server := management.New(module, classNames(cfg), cfg.Callers, log)
 		running.Go(func() { server.Serve(ctx, managementListener) })
 	}
-	running.Go(func() { reloads(ctx, hangup, module.Rediscover, fronts.Resume, resuming, log) })
+	running.Go(func() { reloads(ctx, hangup, module.Rediscover, fronts.Resume, resuming, supervisor, log) })
+	go supervisor.Run(ctx) // not waited for below: a supervisor's socket may hang
+	running.Go(func() { announce(ctx, module, supervisor, predecessor != nil) })
 	if connectionIDs != nil {
 		running.Go(func() { connectionIDs.Serve(ctx, connectionIDsPause) })
 	}
@@ -173,6 +189,7 @@
 
 	<-stop.Done()
 	log.Info("stopping: answering what is here and moving what stands")
+	supervisor.Stopping(cfg.StopBudget + exitWait)
 	next.stop()
 	<-module.Drain(cfg.StopBudget)
 	s := module.Snapshot()
@@ -184,6 +201,7 @@
 		running.Wait()
 		close(ended)
 	}()
+	supervisor.Wait(exitWait / 3)
 	select {
 	case <-ended:
 	case <-time.After(exitWait): // everything is answered: SIGKILL must not come first
@@ -192,6 +210,25 @@
 	return nil
 }
 
+// announce tells the supervisor when this process serves. One that takes over from another is the service's main process
+// from then on: the other one is about to be stopped.
+func announce(ctx context.Context, module *core.Module, supervisor *supervise.Notifier, takesOver bool) {
+	select {
+	case <-module.Ready():
+		if takesOver {
+			supervisor.TakesOver(os.Getpid())
+		}
+		supervisor.Ready()
+	case <-ctx.Done():
+	}
+}
+
+// status is the line that a supervisor shows.
+func status(s *core.Snapshot) string {
+	return fmt.Sprintf("%s: %d connections stand, %d requests wait, %d room servers listed, %d of them left out", s.Service,
+		s.Standing, s.Waiting, s.Listed, s.Avoided)
+}
+
 // stateWait is 0 where sessions are not resumed.
 func stateWait(r config.Resume) time.Duration {
 	if r.KeysFile == "" {
@@ -203,13 +240,14 @@
 // reloads reads the configuration and the keys again at each SIGHUP and takes discovery's address and the keys over, both
 // or neither: where one file is faulty, all that was in force stays.
 func reloads(ctx context.Context, hangup <-chan os.Signal, rediscover func(address string), resume config.Resume,
-	resuming *line.Resuming, log *logrus.Logger) {
+	resuming *line.Resuming, supervisor *supervise.Notifier, log *logrus.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
 		}
+		supervisor.Reloading(supervise.Monotonic())
 		cfg, err := config.Reload()
 		var ring *token.Ring
 		if err == nil {
@@ -217,6 +255,7 @@
 		}
 		if err != nil {
 			log.WithError(err).Error("configuration is faulty, the one in force stays")
+			supervisor.Ready()
 			continue
 		}
 		log.WithField("discovery", cfg.Discovery).Info("configuration read again")
@@ -225,6 +264,7 @@
 			resuming.Use(ring)
 			log.WithFields(logrus.Fields{"seals": ring.Sealing(time.Now()), "keys": len(ring.Keys())}).Info("keys read again")
 		}
+		supervisor.Ready()
 	}
 }
 
--- a/cmd/cottonplank/main_test.go
+++ b/cmd/cottonplank/main_test.go
@@ -18,6 +18,7 @@
 
 	"cottonplank/internal/config"
 	"cottonplank/internal/line"
+	"cottonplank/internal/supervise"
 
 	"github.com/sirupsen/logrus"
 )
@@ -111,8 +112,13 @@
 	resuming := line.NewResuming(line.ResumeLimits{Site: "armor", Life: time.Hour, MaxBytes: 1, MaxMoves: 1}, ring)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	t.Setenv("NOTIFY_SOCKET", "")
+	supervisor, err := supervise.NewNotifier(&supervise.Marks{}, func() string { return "" }, log)
+	if err != nil {
+		t.Fatal(err)
+	}
 	hangup, taken := make(chan os.Signal), make(chan string, 10)
-	go reloads(t.Context(), hangup, func(address string) { taken <- address }, resume, resuming, log)
+	go reloads(t.Context(), hangup, func(address string) { taken <- address }, resume, resuming, supervisor, log)
 	reload := func(want int) {
 		t.Helper()
 		hangup <- syscall.SIGHUP
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -110,6 +110,18 @@
 	return decide.ServerID(h.Sum32())
 }
 
+// Turns hears of an actor's turns, for a watchdog: each begins with Busy and ends with Waits.
+type Turns interface {
+	Busy()
+	Waits()
+}
+
+// nobody hears of no turn.
+type nobody struct{}
+
+func (nobody) Busy()  {}
+func (nobody) Waits() {}
+
 // Config is what a Module starts with.
 type Config struct {
 	Settings decide.Settings
@@ -122,5 +134,6 @@
 	Learned   []decide.Learned // by that one, of the room servers
 	// StateWait is how long a session's state may take to come from its room server; 0: sessions are not resumed.
 	StateWait time.Duration
+	Turns     Turns // hears when the module's actor turns; nil: nobody does
 	Log       func(text string)
 }
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -98,6 +98,9 @@
 
 // New checks the settings and returns a module that Run starts.
 func New(cfg Config) (*Module, error) {
+	if cfg.Turns == nil {
+		cfg.Turns = nobody{}
+	}
 	b, err := decide.New(cfg.Settings)
 	if err != nil {
 		return nil, fmt.Errorf("decision module: %w", err)
@@ -138,15 +141,18 @@
 		case <-ctx.Done():
 			return
 		case turn := <-m.inbox:
+			m.cfg.Turns.Busy()
 			m.tick()
 			turn()
 		case <-timer.C:
+			m.cfg.Turns.Busy()
 		}
 		m.tick()
 		m.deadlines.sweep(m.now)
 		if at, ok := m.deadlines.next(); ok {
 			timer.Reset(max(at-m.now, 0))
 		}
+		m.cfg.Turns.Waits()
 	}
 }
 
--- a/internal/handover/sockets.go
+++ b/internal/handover/sockets.go
@@ -7,8 +7,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -38,6 +40,24 @@
 	return failed
 }}
 
+// Offer gives sockets that a supervisor has opened. One that a running process has handed over comes before that of
+// the same name: clients wait in its queue.
+func (s *Sockets) Offer(files map[string]*os.File) {
+	if s.taken == nil {
+		s.taken = map[string]*os.File{}
+	}
+	for name, f := range files {
+		if s.taken[name] != nil {
+			f.Close()
+			continue
+		}
+		s.taken[name] = f
+	}
+}
+
+// Unused names what was offered or taken over and nobody has asked for.
+func (s *Sockets) Unused() []string { return slices.Sorted(maps.Keys(s.taken)) }
+
 // ListenTCP returns the listener of that name that was taken over, or opens one.
 func (s *Sockets) ListenTCP(name, address string) (*net.TCPListener, error) {
 	l, err := take(s, name, address, net.FileListener, net.Listener.Addr)
--- a/internal/line/front.go
+++ b/internal/line/front.go
@@ -45,6 +45,7 @@
 	reserve  chan int
 	ended    chan struct{}
 
+	turns     core.Turns // of the accepting side; nil: nobody hears
 	succeeded atomic.Bool
 	actors    sync.WaitGroup
 	readers   sync.WaitGroup // the channels' readers and dials
@@ -59,6 +60,9 @@
 	return f
 }
 
+// Watch lets a watchdog hear of the accepting side's turns; it is called before Serve.
+func (f *Front) Watch(turns core.Turns) { f.turns = turns }
+
 // Resume lets sessions go on with a token; it is called before Serve.
 func (f *Front) Resume(r *Resuming) { f.resuming = r }
 
@@ -157,7 +161,13 @@
 	for f.roomToAccept(ctx) {
 		conn, err := l.AcceptTCP()
 		if err == nil {
+			if f.turns != nil {
+				f.turns.Busy()
+			}
 			f.accept(ctx, conn)
+			if f.turns != nil {
+				f.turns.Waits()
+			}
 			continue
 		}
 		f.free()
--- a/internal/quic/front.go
+++ b/internal/quic/front.go
@@ -42,6 +42,7 @@
 
 // Front routes datagrams. Its router goroutine owns the table of flows.
 type Front struct {
+	watch  core.Turns // nil: nobody hears
 	cfg    Config
 	module *core.Module
 	log    *logrus.Logger
@@ -91,13 +92,25 @@
 		case <-ctx.Done():
 			return
 		case d := <-f.datagrams:
-			f.route(ctx, d)
+			f.watched(func() { f.route(ctx, d) })
 		case turn := <-f.turns:
-			turn()
+			f.watched(turn)
 		}
 	}
 }
 
+// Watch lets a watchdog hear of the router's turns; it is called before Serve.
+func (f *Front) Watch(turns core.Turns) { f.watch = turns }
+
+// watched runs one turn.
+func (f *Front) watched(turn func()) {
+	if f.watch != nil {
+		f.watch.Busy()
+		defer f.watch.Waits()
+	}
+	turn()
+}
+
 func (f *Front) read(ctx context.Context, pause *handover.Pause) {
 	buf := make([]byte, maxDatagram)
 	for {
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -36,6 +36,7 @@
 	moves  chan string
 	news   chan news
 	calls  sync.WaitGroup
+	turns  Turns // nil: nobody hears
 
 	// Owned by Run's goroutine.
 	url        string
@@ -102,6 +103,24 @@
 	}
 }
 
+// Turns hears of the actor's turns, for a watchdog.
+type Turns interface {
+	Busy()
+	Waits()
+}
+
+// Watch lets a watchdog hear of the actor's turns; it is called before Run.
+func (r *Resolver) Watch(turns Turns) { r.turns = turns }
+
+// turn runs one turn.
+func (r *Resolver) turn(do func()) {
+	if r.turns != nil {
+		r.turns.Busy()
+		defer r.turns.Waits()
+	}
+	do()
+}
+
 // Run is the actor; it ends with ctx and with all its calls.
 func (r *Resolver) Run(ctx context.Context) {
 	defer r.calls.Wait()
@@ -110,18 +129,23 @@
 		case <-ctx.Done():
 			return
 		case c := <-r.orders:
-			r.takeMoves() // those ordered before this call come before it
-			r.lastCall++
-			c.number, c.url, c.era, c.from = r.lastCall, r.url, r.era, r.generation
-			c.whole = c.watch && !r.listed
-			c.ctx, c.cancel = context.WithCancel(c.ctx)
-			r.calls.Go(func() { r.call(ctx, c) })
+			r.turn(func() { r.begin(ctx, c) })
 		case n := <-r.news:
-			r.hear(n)
+			r.turn(func() { r.hear(n) })
 		}
 	}
 }
 
+// begin makes a call.
+func (r *Resolver) begin(ctx context.Context, c call) {
+	r.takeMoves() // those ordered before this call come before it
+	r.lastCall++
+	c.number, c.url, c.era, c.from = r.lastCall, r.url, r.era, r.generation
+	c.whole = c.watch && !r.listed
+	c.ctx, c.cancel = context.WithCancel(c.ctx)
+	r.calls.Go(func() { r.call(ctx, c) })
+}
+
 func (r *Resolver) takeMoves() {
 	for {
 		select {
--- /dev/null
+++ b/internal/supervise/actors_test.go
@@ -0,0 +1,121 @@
+package supervise_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cottonplank/decide"
+	"cottonplank/internal/core"
+	"cottonplank/internal/handover"
+	"cottonplank/internal/line"
+	"cottonplank/internal/resolver"
+	"cottonplank/internal/supervise"
+
+	"github.com/sirupsen/logrus"
+)
+
+type nothing struct{}
+
+func (nothing) Probe(context.Context, uint64, core.Subchannel) {}
+func (nothing) Forget(decide.ServerID)                         {}
+func (nothing) Subscribe(context.Context)                      {}
+func (nothing) FetchList(context.Context)                      {}
+func (nothing) Move(string)                                    {}
+
+// blocks is a prober and a sink that holds up whoever calls it until it is released.
+type blocks struct {
+	nothing
+	released chan struct{}
+}
+
+func (b blocks) Forget(decide.ServerID) { <-b.released }
+func (b blocks) Resolved(core.Result)   { <-b.released }
+func (b blocks) ListAlive()             { <-b.released }
+
+const limit = 100 * time.Millisecond
+
+// stuck waits until exactly these actors are stuck.
+func stuck(t *testing.T, marks *supervise.Marks, want ...string) {
+	t.Helper()
+	var got []string
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if got = marks.Stuck(time.Now(), limit); slices.Equal(got, want) {
+			return
+		}
+	}
+	t.Fatalf("stuck: %q, want %q", got, want)
+}
+
+// The real actors: a module that is held up by what it calls is found, and so is the front whose channels it does not take
+// any more; both are well again once it goes on. Guards against marks that say nothing of the actors.
+func TestModuleAndFrontStuck(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	marks := &supervise.Marks{}
+	module, err := core.New(core.Config{MaxChannels: 10, Log: func(string) {}, Turns: marks.New("module"),
+		Settings: decide.Settings{Zone: "a", Classes: []decide.Class{{Name: "solo-play", Aim: time.Second}}},
+		Known:    []core.Instance{{Name: "s-1", Server: decide.Server{ID: 1, Zone: "a"}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := (&handover.Sockets{}).ListenTCP("clients", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := line.New(module, line.Names{}, line.Budget{Descriptors: 9000, DialSpare: 10}, log)
+	front.Watch(marks.New("front"))
+	prober := blocks{released: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { module.Run(ctx, prober, nothing{}) })
+	running.Go(func() { front.Serve(ctx, l, handover.NewPause(l.SetDeadline)) })
+	defer func() { cancel(); running.Wait() }()
+	time.Sleep(2 * limit)
+	stuck(t, marks)
+	module.Resolved(core.Result{Kind: decide.ListFull}) // its only room server is gone, which the prober is told
+	stuck(t, marks, "module")
+	var conns []net.Conn
+	for len(marks.Stuck(time.Now(), limit)) < 2 && len(conns) < 4000 { // its mailbox fills up
+		conn, err := net.DialTimeout("tcp", l.Addr().String(), time.Second)
+		if err != nil {
+			break
+		}
+		conns = append(conns, conn)
+	}
+	stuck(t, marks, "front", "module")
+	close(prober.released)
+	stuck(t, marks)
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
+
+// A list whose news are not taken is found.
+func TestListStuck(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, `{"generation":3,"reset":true,"instances":[]}`+"\n")
+	}))
+	defer server.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	marks := &supervise.Marks{}
+	sink := blocks{released: make(chan struct{})}
+	list := resolver.New(strings.TrimPrefix(server.URL, "http://"), 0, sink, log)
+	list.Watch(marks.New("list"))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { list.Run(ctx) })
+	defer func() { cancel(); running.Wait() }()
+	list.FetchList(ctx)
+	stuck(t, marks, "list")
+	close(sink.released)
+	stuck(t, marks)
+}
--- /dev/null
+++ b/internal/supervise/bench_test.go
@@ -0,0 +1,12 @@
+package supervise
+
+import "testing"
+
+// BenchmarkMark is what a turn of an actor costs more with its mark.
+func BenchmarkMark(b *testing.B) {
+	m := (&Marks{}).New("module")
+	for b.Loop() {
+		m.Busy()
+		m.Waits()
+	}
+}
