Take the room servers from a list file, and reload all files as one

internal/roomlist (pure) reads the operator's list, tells what changes and holds one that takes over half of the serving room servers away until SIGHUP asks once more; internal/roomfile is its actor, in the resolver's place. The folder is watched and the file looked at every 2 s: renames, writes in place, exchanged links; half a file, an empty or a faulty one changes nothing. SIGHUP takes discovery, keys and list over together or not at all, and counts a generation that INFO and the MIB show.

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -20,9 +20,10 @@
 	"cottonplank/internal/management"
 	"cottonplank/internal/quic"
 	"cottonplank/internal/resolver"
+	"cottonplank/internal/roomfile"
+	"cottonplank/internal/roomlist"
 	"cottonplank/internal/snmp"
 	"cottonplank/internal/supervise"
-	"cottonplank/internal/token"
 
 	"github.com/sirupsen/logrus"
 )
@@ -64,9 +65,16 @@
 	} else if ring != nil {
 		fmt.Fprintf(out, "resumption: site %q, key %s seals, %d keys\n", fronts.Resume.Site, ring.Sealing(time.Now()), len(ring.Keys()))
 	}
+	if fronts.Rooms != "" {
+		rooms, err := roomfile.Read(fronts.Rooms)
+		if err != nil {
+			return fmt.Errorf("fronts: %w", err)
+		}
+		fmt.Fprintf(out, "rooms: %d room servers from %s, in place of discovery\n", len(rooms.Rooms), fronts.Rooms)
+	}
 	_, err = fmt.Fprintf(out, `%s: %d classes, %d known room servers, management %q, quic %q, snmp %q
 descriptors: %d for channels and dials, %d of them for dials alone; %d requests and connections at once
-SIGHUP takes over: discovery, from the file before PROXY_DISCOVERY, and the keys of tokens; every other key takes a restart
+SIGHUP takes over: discovery, from the file before PROXY_DISCOVERY, the keys of tokens and the list of room servers; every other key takes a restart
 `, cfg.Name, len(cfg.Settings.Classes), len(cfg.Known), cfg.Management, fronts.QUIC.Listen, fronts.SNMP.Listen,
 		cfg.Descriptors, cfg.DialSpare, cfg.MaxChannels)
 	return err
@@ -81,6 +89,13 @@
 	if err != nil {
 		return fmt.Errorf("fronts: resume.%w", err)
 	}
+	var first roomlist.List
+	if fronts.Rooms != "" {
+		if first, err = roomfile.Read(fronts.Rooms); err != nil {
+			return fmt.Errorf("fronts: %w", err)
+		}
+		cfg.Known = roomfile.Instances(first)
+	}
 	cfg.Apply()
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
@@ -152,7 +167,12 @@
 		return err
 	}
 	prober := line.NewProber(ctx, module)
-	list := resolver.New(cfg.Discovery, cfg.Generation, module, log)
+	var list source = resolver.New(cfg.Discovery, cfg.Generation, module, log)
+	var rooms *roomfile.Source
+	if fronts.Rooms != "" {
+		rooms = roomfile.New(fronts.Rooms, first, module, log)
+		list = rooms
+	}
 	list.Watch(marks.New("list"))
 	front := line.New(module, names(cfg), line.Budget{Descriptors: cfg.Descriptors, DialSpare: cfg.DialSpare}, log)
 	front.Watch(marks.New("clients' front"))
@@ -176,7 +196,12 @@
 		server := management.New(module, classNames(cfg), cfg.Callers, log)
 		running.Go(func() { server.Serve(ctx, managementListener) })
 	}
-	running.Go(func() { reloads(ctx, hangup, module.Rediscover, fronts.Resume, resuming, supervisor, log) })
+	reload := &reloader{fronts: fronts, rediscover: module.Rediscover, resuming: resuming, rooms: rooms,
+		generation: func(uint64) {}, supervisor: supervisor, log: log}
+	if frontsFile != "" { // INFO is as the platform knows it where there is none
+		reload.generation = module.Generation
+	}
+	running.Go(func() { reload.run(ctx, hangup) })
 	go supervisor.Run(ctx) // not waited for below: a supervisor's socket may hang
 	running.Go(func() { announce(ctx, module, supervisor, predecessor != nil) })
 	if connectionIDs != nil {
@@ -210,6 +235,13 @@
 	return nil
 }
 
+// source is where the list of room servers comes from, as an actor.
+type source interface {
+	core.Resolver
+	Watch(core.Turns)
+	Run(context.Context)
+}
+
 // announce tells the supervisor when this process serves. One that takes over from another is the service's main process
 // from then on: the other one is about to be stopped.
 func announce(ctx context.Context, module *core.Module, supervisor *supervise.Notifier, takesOver bool) {
@@ -237,37 +269,6 @@
 	return r.StateWait
 }
 
-// reloads reads the configuration and the keys again at each SIGHUP and takes discovery's address and the keys over, both
-// or neither: where one file is faulty, all that was in force stays.
-func reloads(ctx context.Context, hangup <-chan os.Signal, rediscover func(address string), resume config.Resume,
-	resuming *line.Resuming, supervisor *supervise.Notifier, log *logrus.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-		}
-		supervisor.Reloading(supervise.Monotonic())
-		cfg, err := config.Reload()
-		var ring *token.Ring
-		if err == nil {
-			ring, err = resume.Ring()
-		}
-		if err != nil {
-			log.WithError(err).Error("configuration is faulty, the one in force stays")
-			supervisor.Ready()
-			continue
-		}
-		log.WithField("discovery", cfg.Discovery).Info("configuration read again")
-		rediscover(cfg.Discovery)
-		if ring != nil {
-			resuming.Use(ring)
-			log.WithFields(logrus.Fields{"seals": ring.Sealing(time.Now()), "keys": len(ring.Keys())}).Info("keys read again")
-		}
-		supervisor.Ready()
-	}
-}
-
 func quicFront(cfg *config.Config, q config.QUIC, conn *net.UDPConn, module *core.Module, log *logrus.Logger) (*quic.Front, error) {
 	ids, err := quic.NewIDFormat(q.ConfigID, q.NonceLen, q.IDKey)
 	if err != nil {
--- a/cmd/cottonplank/main_test.go
+++ b/cmd/cottonplank/main_test.go
@@ -17,7 +17,9 @@
 	"time"
 
 	"cottonplank/internal/config"
+	"cottonplank/internal/core"
 	"cottonplank/internal/line"
+	"cottonplank/internal/roomfile"
 	"cottonplank/internal/supervise"
 
 	"github.com/sirupsen/logrus"
@@ -117,8 +119,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	hangup, taken := make(chan os.Signal), make(chan string, 10)
-	go reloads(t.Context(), hangup, func(address string) { taken <- address }, resume, resuming, supervisor, log)
+	hangup, taken, generations := make(chan os.Signal), make(chan string, 10), make(chan uint64, 10)
+	rooms := filepath.Join(dir, "rooms.json")
+	replace(t, rooms, `{"rooms":[{"name":"s-1","address":"127.0.0.1:9","zone":"a"}]}`)
+	first, err := roomfile.Read(rooms)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &reloader{fronts: config.Fronts{Resume: resume, Rooms: rooms}, rediscover: func(address string) { taken <- address },
+		resuming: resuming, generation: func(n uint64) { generations <- n }, supervisor: supervisor, log: log}
+	go r.run(t.Context(), hangup)
+	if n := <-generations; n != 1 {
+		t.Errorf("generation %d at the start", n)
+	}
 	reload := func(want int) {
 		t.Helper()
 		hangup <- syscall.SIGHUP
@@ -143,8 +156,39 @@
 	reload(0)
 	replace(t, keys, `{"keys":[]}`)
 	reload(0)
+	for n := uint64(2); len(generations) > 0; n++ {
+		if got := <-generations; got != n {
+			t.Errorf("generation %d, want %d", got, n)
+		}
+	}
+
+	// The list is one of the files: it is taken over with them, and a faulty one keeps them all.
+	os.Remove(keys)
+	if run([]string{"keys", "new", "--file", keys}, &out, &out) != 0 {
+		t.Fatal(out.String())
+	}
+	got := make(chan core.Result, 10)
+	r.rooms = roomfile.New(rooms, first, results(got), log)
+	go r.rooms.Run(t.Context())
+	replace(t, rooms, `{"rooms":[]}`)
+	if err := r.reload(t.Context()); err == nil || !strings.Contains(err.Error(), "rooms: 0") {
+		t.Errorf("an empty list: %v", err)
+	}
+	replace(t, rooms, `{"rooms":[{"name":"s-1","address":"127.0.0.1:9","zone":"a"},{"name":"s-2","address":"127.0.0.1:8","zone":"a"}]}`)
+	if err := r.reload(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if list := <-got; len(list.Instances) != 2 {
+		t.Errorf("taken over: %+v", list)
+	}
 }
 
+// results is a sink of lists.
+type results chan core.Result
+
+func (r results) Resolved(list core.Result) { r <- list }
+func (results) ListAlive()                  {}
+
 // SIGHUP turns the running program to the discovery that the file now names, before PROXY_DISCOVERY; a client's
 // connection stays. A faulty file changes nothing, and SIGHUP in a planned stop is harmless.
 func TestReload(t *testing.T) {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -126,12 +126,12 @@
 
 const goodFronts = `{"quic":{"listen":"127.0.0.1:4433","class":"solo-play","config_id":0,"nonce_length":8,
 "id_key":"8f95f09245765f80256934e50c66207f","reset_key":"000102030405060708090a0b0c0d0e0f"},
-"snmp":{"listen":"127.0.0.1:1161","community":"x"},"resume":{"keys":"k.json","site":"armor","max_moves":7}}`
+"snmp":{"listen":"127.0.0.1:1161","community":"x"},"resume":{"keys":"k.json","site":"armor","max_moves":7},"rooms":{"file":"r.json"}}`
 
 func TestFronts(t *testing.T) {
 	classes := []decide.Class{{Name: "solo-play"}}
 	f, err := ParseFronts([]byte(goodFronts), classes, "/etc")
-	if err != nil || f.QUIC.Idle != 30*time.Second || f.QUIC.MaxFlows != defaultMaxFlows || f.SNMP.Community != "x" || f.Resume.KeysFile != "/etc/k.json" ||
+	if err != nil || f.QUIC.Idle != 30*time.Second || f.QUIC.MaxFlows != defaultMaxFlows || f.SNMP.Community != "x" || f.Resume.KeysFile != "/etc/k.json" || f.Rooms != "/etc/r.json" ||
 		f.Resume.StateWait != 400*time.Millisecond || f.Resume.MaxState != defaultMaxState || f.Resume.MaxMoves != 7 {
 		t.Fatalf("%+v, %v", f, err)
 	}
--- a/internal/config/fronts.go
+++ b/internal/config/fronts.go
@@ -19,6 +19,7 @@
 	QUIC   QUIC
 	SNMP   SNMP
 	Resume Resume
+	Rooms  string // the file that lists the room servers, in place of discovery; empty: off
 }
 
 // QUIC is the front for QUIC connection ids.
@@ -55,6 +56,9 @@
 		Community string `json:"community"`
 	} `json:"snmp"`
 	Resume *resumeFile `json:"resume"`
+	Rooms  struct {
+		File string `json:"file"`
+	} `json:"rooms"`
 }
 
 // Defaults of the fronts.
@@ -101,6 +105,9 @@
 		}
 		f.SNMP = SNMP{Listen: w.SNMP.Listen, Community: w.SNMP.Community}
 	}
+	if f.Rooms = w.Rooms.File; f.Rooms != "" && !filepath.IsAbs(f.Rooms) {
+		f.Rooms = filepath.Join(base, f.Rooms)
+	}
 	if w.Resume != nil && w.Resume.Keys != "" {
 		if f.Resume, err = w.Resume.resume(base); err != nil {
 			return f, fmt.Errorf("resume.%w", err)
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -67,6 +67,7 @@
 	counters    Counters
 	classes     []ClassCounters
 	service     Service
+	generation  uint64
 	listAt      time.Duration
 	departed    map[string]departure
 
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// Generation tells that a configuration was taken over, and which it is.
+func (m *Module) Generation(n uint64) { m.post(func() { m.generation = n }) }
+
 // Ready is closed once this process has been ready to serve.
 func (m *Module) Ready() <-chan struct{} { return m.ready }
 
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -51,7 +51,8 @@
 	Counters
 	Classes     []ClassCounters // by class, as the settings order them
 	Service     Service
-	Resumes     bool // sessions go on with a token
+	Generation  uint64 // of the configuration in force; 0: not told
+	Resumes     bool   // sessions go on with a token
 	At          time.Time
 	Started     time.Time
 	ListAt      time.Time // when the list last changed or was confirmed
@@ -72,7 +73,7 @@
 }
 
 func (m *Module) publish() {
-	s := &Snapshot{Counters: m.counters, Classes: slices.Clone(m.classes), Service: m.service, Resumes: m.cfg.StateWait > 0, At: m.wall(m.now),
+	s := &Snapshot{Counters: m.counters, Classes: slices.Clone(m.classes), Service: m.service, Generation: m.generation, Resumes: m.cfg.StateWait > 0, At: m.wall(m.now),
 		Started: m.epoch, ListAt: m.wall(m.listAt), Open: len(m.open), Waiting: m.waiting, Standing: m.standing}
 	s.StartedOver = maps.Clone(s.StartedOver)
 	for _, c := range m.classes {
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -184,6 +184,9 @@
 		fmt.Fprintf(&b, "svc.fulfilled.%s=%d\r\nsvc.throttled.%[1]s=%[3]d\r\nsvc.faulted.%[1]s=%[4]d\r\nsvc.relayed.%[1]s=%[5]d\r\n",
 			name, c.Served, c.Refused, c.Failed, c.Attempts)
 	}
+	if snapshot.Generation > 0 {
+		fmt.Fprintf(&b, "svc.generation=%d\r\n", snapshot.Generation)
+	}
 	if snapshot.Resumes {
 		fmt.Fprintf(&b, "svc.tokens_given=%d\r\nsvc.tokens_unsealed=%d\r\nsvc.resumed=%d\r\n", snapshot.Given, snapshot.Unsealed,
 			snapshot.Resumed)
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -98,11 +98,11 @@
 
 // What came of tokens is told where sessions are resumed, and only there.
 func TestInfoOfTokens(t *testing.T) {
-	s := &core.Snapshot{Resumes: true}
+	s := &core.Snapshot{Resumes: true, Generation: 4}
 	s.Given, s.Resumed, s.StartedOver = 3, 2, map[core.Reason]uint64{"gone": 4, "forged": 5}
 	server := New(nil, nil, 1, nil)
 	for _, want := range []string{"svc.tokens_given=3\r\n", "svc.resumed=2\r\n", "svc.started_over.gone=4\r\n",
-		"svc.token_refused.forged=5\r\n", "svc.started_over.late=0\r\n"} {
+		"svc.token_refused.forged=5\r\n", "svc.started_over.late=0\r\n", "svc.generation=4\r\n"} {
 		if got := server.info(s); !strings.Contains(got, want) {
 			t.Errorf("%q lacks %q", got, want)
 		}
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -36,7 +36,7 @@
 	moves  chan string
 	news   chan news
 	calls  sync.WaitGroup
-	turns  Turns // nil: nobody hears
+	turns  core.Turns // nil: nobody hears
 
 	// Owned by Run's goroutine.
 	url        string
@@ -103,14 +103,8 @@
 	}
 }
 
-// Turns hears of the actor's turns, for a watchdog.
-type Turns interface {
-	Busy()
-	Waits()
-}
-
 // Watch lets a watchdog hear of the actor's turns; it is called before Run.
-func (r *Resolver) Watch(turns Turns) { r.turns = turns }
+func (r *Resolver) Watch(turns core.Turns) { r.turns = turns }
 
 // turn runs one turn.
 func (r *Resolver) turn(do func()) {
--- /dev/null
+++ b/internal/roomfile/roomfile.go
@@ -0,0 +1,207 @@
+// Package roomfile is the list's actor where an operator's file takes the place of discovery. It reads the file when that is
+// replaced, and answers the core's calls from the list in force. internal/roomlist decides what is taken over.
+package roomfile
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"cottonplank/decide"
+	"cottonplank/internal/core"
+	"cottonplank/internal/roomlist"
+
+	"github.com/fsnotify/fsnotify"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	maxFile    = 1 << 20
+	settle     = 100 * time.Millisecond // a file that is being written is left alone for this
+	settleMost = time.Second            // but not for longer than this
+	lookEvery  = 2 * time.Second        // also without a sign: what a symbolic link leads to may change elsewhere
+	aliveEvery = 2 * time.Second
+	orderSize  = 8
+)
+
+// Sink takes what the actor learns.
+type Sink interface {
+	Resolved(core.Result)
+	ListAlive()
+}
+
+// Source is the actor.
+type Source struct {
+	path   string
+	sink   Sink
+	log    *logrus.Logger
+	turns  core.Turns // nil: nobody hears
+	orders chan context.Context
+	offers chan roomlist.List
+
+	// Owned by Run's goroutine.
+	keeper *roomlist.Keeper
+	watch  context.Context // of the core's subscription; nil: none
+	failed string          // what was said of the file last
+}
+
+// Read reads the file; errors name it and what is wrong in it.
+func Read(path string) (roomlist.List, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return roomlist.List{}, fmt.Errorf("rooms: %w", err)
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	if err != nil {
+		return roomlist.List{}, fmt.Errorf("rooms: %w", err)
+	}
+	if len(raw) > maxFile {
+		return roomlist.List{}, fmt.Errorf("rooms: %s: is longer than %d bytes", path, maxFile)
+	}
+	l, err := roomlist.Parse(raw)
+	if err != nil {
+		return l, fmt.Errorf("rooms: %s: %w", path, err)
+	}
+	return l, nil
+}
+
+// Instances are a list's room servers as the core has them.
+func Instances(l roomlist.List) (all []core.Instance) {
+	for _, r := range l.Rooms {
+		state := decide.Ready
+		if r.Drain {
+			state = decide.Draining
+		}
+		all = append(all, core.Instance{Name: r.Name, Address: r.Address, Server: decide.Server{ID: core.ServerID(r.Name),
+			Zone: r.Zone, State: state, Weight: r.Weight}})
+	}
+	return all
+}
+
+// New returns the actor of a file, with the list that was read from it.
+func New(path string, first roomlist.List, sink Sink, log *logrus.Logger) *Source {
+	return &Source{path: path, sink: sink, log: log, keeper: roomlist.NewKeeper(first), orders: make(chan context.Context, orderSize),
+		offers: make(chan roomlist.List)}
+}
+
+// Watch lets a watchdog hear of the actor's turns; it is called before Run.
+func (s *Source) Watch(turns core.Turns) { s.turns = turns }
+
+// Move is discovery's; a file has no address.
+func (s *Source) Move(string) {}
+
+// Subscribe answers with the list in force, and from then on with its changes.
+func (s *Source) Subscribe(ctx context.Context) { s.order(ctx) }
+
+// FetchList answers with the list in force.
+func (s *Source) FetchList(ctx context.Context) { s.order(ctx) }
+
+func (s *Source) order(ctx context.Context) {
+	select {
+	case s.orders <- ctx:
+	default: // the module's actor never waits, and asks again
+	}
+}
+
+// Offer brings a list that the operator asked to take over by a signal, and was read from the file.
+func (s *Source) Offer(ctx context.Context, l roomlist.List) {
+	select {
+	case s.offers <- l:
+	case <-ctx.Done():
+	}
+}
+
+// Run is the actor; it ends with ctx.
+func (s *Source) Run(ctx context.Context) {
+	var signs <-chan fsnotify.Event
+	var failures <-chan error
+	// The folder is watched, not the file: one that is renamed over it is another file.
+	if w, err := fsnotify.NewWatcher(); err == nil {
+		defer w.Close()
+		if err := w.Add(filepath.Dir(s.path)); err != nil {
+			s.log.WithError(err).Warn("rooms: the folder cannot be watched, the file is looked at every 2 s")
+		}
+		signs, failures = w.Events, w.Errors
+	} else {
+		s.log.WithError(err).Warn("rooms: no watch, the file is looked at every 2 s")
+	}
+	look, alive := time.NewTicker(lookEvery), time.NewTicker(aliveEvery)
+	defer look.Stop()
+	defer alive.Stop()
+	read := time.NewTimer(0)
+	read.Stop()
+	var since time.Time // of the first sign that is not looked into yet
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case order := <-s.orders:
+			s.turn(func() {
+				s.watch = order
+				s.sink.Resolved(core.Result{Kind: decide.ListFull, Instances: Instances(s.keeper.Current())})
+			})
+		case l := <-s.offers:
+			s.turn(func() { s.found(l, true) })
+		case <-signs:
+			if since.IsZero() {
+				since = time.Now()
+			}
+			read.Reset(min(settle, max(settleMost-time.Since(since), 0)))
+		case err := <-failures:
+			s.log.WithError(err).Warn("rooms: the watch of the file failed once")
+			read.Reset(settle)
+		case <-read.C:
+			since = time.Time{}
+			s.turn(s.read)
+		case <-look.C:
+			s.turn(s.read)
+		case <-alive.C:
+			if s.watch != nil && s.watch.Err() == nil {
+				s.turn(s.sink.ListAlive)
+			}
+		}
+	}
+}
+
+func (s *Source) turn(do func()) {
+	if s.turns != nil {
+		s.turns.Busy()
+		defer s.turns.Waits()
+	}
+	do()
+}
+
+// read takes over what the file holds now. A faulty one changes nothing, and is told once.
+func (s *Source) read() {
+	l, err := Read(s.path)
+	if err != nil {
+		if err.Error() != s.failed {
+			s.log.WithError(err).Error("rooms: the list is faulty, the one in force stays")
+		}
+		s.failed = err.Error()
+		return
+	}
+	s.found(l, false)
+}
+
+func (s *Source) found(l roomlist.List, asked bool) {
+	verdict, change := s.keeper.Offer(l, asked)
+	switch verdict {
+	case roomlist.Same:
+		s.failed = ""
+	case roomlist.Hold:
+		text := "rooms: held: " + change.String()
+		if text != s.failed || asked {
+			s.log.WithField("change", change.String()).Error("rooms: the list takes over half of the room servers away; it is taken when SIGHUP asks for it once more")
+		}
+		s.failed = text
+	case roomlist.Take:
+		s.failed = ""
+		s.log.WithField("change", change.String()).Info("rooms: list taken over")
+		s.sink.Resolved(core.Result{Kind: decide.ListFull, Instances: Instances(l)})
+	}
+}
--- /dev/null
+++ b/internal/roomlist/roomlist.go
@@ -0,0 +1,179 @@
+// Package roomlist is the operator's list of room servers, for installations without discovery: its form, what one list
+// changes in another, and which changes are taken over. Pure: no I/O and no clock.
+package roomlist
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// MaxRooms bounds a list.
+const MaxRooms = 4096
+
+// Room is one room server.
+type Room struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Weight  float64 `json:"weight"` // size against others; 0: 1
+	Drain   bool    `json:"drain"`  // it finishes what it has, and gets nothing new
+}
+
+// List is a sound list, ordered by name.
+type List struct{ Rooms []Room }
+
+// Parse reads a list, {"rooms":[{"name":...,"address":...,"zone":...}]}. Errors name the entry, the key and the value. An
+// empty list is an error: it would send every client away.
+func Parse(raw []byte) (List, error) {
+	var file struct {
+		Rooms []Room `json:"rooms"`
+	}
+	in := json.NewDecoder(bytes.NewReader(raw))
+	in.DisallowUnknownFields()
+	if err := in.Decode(&file); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return List{}, fmt.Errorf("%s: a %s was expected, found %s", wrong.Field, wrong.Type, wrong.Value)
+		}
+		return List{}, err
+	}
+	if _, err := in.Token(); !errors.Is(err, io.EOF) {
+		return List{}, errors.New("more follows the list")
+	}
+	if len(file.Rooms) == 0 || len(file.Rooms) > MaxRooms {
+		return List{}, fmt.Errorf("rooms: %d of them, 1 to %d expected", len(file.Rooms), MaxRooms)
+	}
+	names, addresses := map[string]int{}, map[string]int{}
+	for i, r := range file.Rooms {
+		if r.Name == "" || strings.ContainsFunc(r.Name, func(c rune) bool { return c <= ' ' || c > '~' }) {
+			return List{}, fmt.Errorf("rooms[%d].name: %q is empty or not printable ASCII without spaces", i, r.Name)
+		}
+		if _, err := netip.ParseAddrPort(r.Address); err != nil {
+			return List{}, fmt.Errorf("rooms[%d].address: %q is no address and port", i, r.Address)
+		}
+		if r.Zone == "" {
+			return List{}, fmt.Errorf("rooms[%d].zone: is missing", i)
+		}
+		if r.Weight < 0 {
+			return List{}, fmt.Errorf("rooms[%d].weight: %v is below 0", i, r.Weight)
+		}
+		if j, there := names[r.Name]; there {
+			return List{}, fmt.Errorf("rooms[%d].name: %q is that of rooms[%d]", i, r.Name, j)
+		}
+		if j, there := addresses[r.Address]; there {
+			return List{}, fmt.Errorf("rooms[%d].address: %q is that of rooms[%d]", i, r.Address, j)
+		}
+		names[r.Name], addresses[r.Address] = i, i
+	}
+	slices.SortFunc(file.Rooms, func(a, b Room) int { return cmp.Compare(a.Name, b.Name) })
+	return List{file.Rooms}, nil
+}
+
+// Change is what one list changes in another, by name.
+type Change struct {
+	Added, Changed, Drained, Returned, Removed []string
+}
+
+// Empty tells that nothing changes.
+func (c Change) Empty() bool {
+	return len(c.Added)+len(c.Changed)+len(c.Drained)+len(c.Returned)+len(c.Removed) == 0
+}
+
+func (c Change) String() string {
+	var parts []string
+	for _, p := range []struct {
+		word  string
+		names []string
+	}{{"added", c.Added}, {"changed", c.Changed}, {"drained", c.Drained}, {"returned", c.Returned}, {"removed", c.Removed}} {
+		if len(p.names) > 0 {
+			parts = append(parts, p.word+" "+strings.Join(p.names, " "))
+		}
+	}
+	return cmp.Or(strings.Join(parts, "; "), "nothing")
+}
+
+// Diff tells what after changes in before.
+func Diff(before, after List) (c Change) {
+	old := map[string]Room{}
+	for _, r := range before.Rooms {
+		old[r.Name] = r
+	}
+	for _, r := range after.Rooms {
+		o, there := old[r.Name]
+		delete(old, r.Name)
+		switch {
+		case !there:
+			c.Added = append(c.Added, r.Name)
+		case r.Drain && !o.Drain:
+			c.Drained = append(c.Drained, r.Name)
+		case !r.Drain && o.Drain:
+			c.Returned = append(c.Returned, r.Name)
+		case r != o:
+			c.Changed = append(c.Changed, r.Name)
+		}
+	}
+	for _, r := range before.Rooms {
+		if _, left := old[r.Name]; left {
+			c.Removed = append(c.Removed, r.Name)
+		}
+	}
+	return c
+}
+
+// Verdict says what becomes of a list that was found.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Same Verdict = iota // nothing changes
+	Take
+	Hold // it takes away over half of the room servers that serve; the operator must ask for it once more
+)
+
+// Keeper holds the list in force and the one that waits for its confirmation.
+type Keeper struct {
+	current List
+	held    *List
+}
+
+// NewKeeper returns a keeper of the first list.
+func NewKeeper(first List) *Keeper { return &Keeper{current: first} }
+
+// Current is the list in force.
+func (k *Keeper) Current() List { return k.current }
+
+// Offer judges a list that was found. asked says that the operator asked for it by a signal: the second time in a row
+// that one is asked for which was held, it is taken.
+func (k *Keeper) Offer(found List, asked bool) (Verdict, Change) {
+	change := Diff(k.current, found)
+	if change.Empty() {
+		k.held = nil
+		return Same, change
+	}
+	serving := 0
+	for _, r := range k.current.Rooms {
+		if !r.Drain {
+			serving++
+		}
+	}
+	lost := len(change.Drained)
+	for _, r := range k.current.Rooms {
+		if !r.Drain && slices.Contains(change.Removed, r.Name) {
+			lost++
+		}
+	}
+	again := k.held != nil && Diff(*k.held, found).Empty()
+	if 2*lost > serving && !(asked && again) {
+		k.held = &found
+		return Hold, change
+	}
+	k.current, k.held = found, nil
+	return Take, change
+}
--- /dev/null
+++ b/internal/roomlist/roomlist_test.go
@@ -0,0 +1,92 @@
+package roomlist
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"cottonplank/internal/seedcorpus"
+)
+
+func list(rooms ...string) List {
+	var l List
+	for i, name := range rooms {
+		name, drains := strings.CutSuffix(name, "!")
+		l.Rooms = append(l.Rooms, Room{Name: name, Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Zone: "a", Drain: drains})
+	}
+	return l
+}
+
+// Each faulty list is refused with its entry, key and value. Guards against half a list, and an empty one.
+func TestFaultyLists(t *testing.T) {
+	const room = `{"name":"s-1","address":"127.0.0.1:9000","zone":"a"}`
+	for text, says := range map[string]string{
+		`{"rooms":[` + room + `]`: "unexpected EOF", `{"rooms":[]}`: "rooms: 0", `{}`: "rooms: 0", ``: "EOF",
+		`{"rooms":[` + room + `]} {}`: "more follows", `{"rooms":[` + room + `],"x":1}`: `"x"`,
+		`{"rooms":[` + room + `,` + room + `]}`:                                                 `rooms[1].name: "s-1"`,
+		`{"rooms":[` + room + `,` + strings.Replace(room, "s-1", "s-2", 1) + `]}`:               `rooms[1].address: "127.0.0.1:9000"`,
+		`{"rooms":[` + strings.Replace(room, "s-1", "s 1", 1) + `]}`:                            `rooms[0].name: "s 1"`,
+		`{"rooms":[` + strings.Replace(room, "127.0.0.1:9000", "here", 1) + `]}`:                `rooms[0].address: "here"`,
+		`{"rooms":[` + strings.Replace(room, `"a"`, `""`, 1) + `]}`:                             "rooms[0].zone",
+		`{"rooms":[` + strings.Replace(room, `"zone":"a"`, `"zone":"a","weight":-1`, 1) + `]}`:  "rooms[0].weight: -1",
+		`{"rooms":[` + strings.Replace(room, `"zone":"a"`, `"zone":"a","drain":"no"`, 1) + `]}`: "drain: a bool",
+	} {
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%s: %v, want it to say %q", text, err, says)
+		}
+	}
+	if l, err := Parse([]byte(`{"rooms":[` + room + `]}`)); err != nil || len(l.Rooms) != 1 || l.Rooms[0].Zone != "a" {
+		t.Error(l, err)
+	}
+}
+
+// The example of the repository is sound.
+func TestExample(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/rooms.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l, err := Parse(raw); err != nil || len(l.Rooms) != 3 {
+		t.Error(l, err)
+	}
+}
+
+// What changes is told by kind; over half of those that serve are taken away only when that is asked for twice, of the same
+// list. Guards a fleet against a file that was cut or mixed up.
+func TestKeeper(t *testing.T) {
+	k := NewKeeper(list("a", "b", "c", "d"))
+	for i, v := range []struct {
+		found   List
+		asked   bool
+		verdict Verdict
+		says    string
+	}{
+		{list("a", "b", "c", "d"), false, Same, "nothing"},
+		{list("a", "b", "c!", "d", "e"), false, Take, "added e; drained c"}, // 4 serve
+		{list("a", "b", "c", "d", "e"), false, Take, "returned c"},
+		{list("a", "b"), false, Hold, "removed c d e"}, {list("a", "b"), false, Hold, "removed c d e"},
+		{list("a", "b!"), true, Hold, "drained b; removed c d e"}, // another one than that which was held
+		{list("a", "b", "c", "d", "e"), false, Same, "nothing"},   // it is withdrawn
+		{list("a", "b!"), true, Hold, "drained b; removed c d e"}, {list("a", "b!"), true, Take, "drained b; removed c d e"},
+		{list("b!"), true, Hold, "changed b; removed a"}, {list("a"), false, Take, "removed b"},
+	} {
+		if verdict, change := k.Offer(v.found, v.asked); verdict != v.verdict || change.String() != v.says {
+			t.Errorf("%d: verdict %d, %s, want %d, %s", i, verdict, change, v.verdict, v.says)
+		}
+	}
+	if len(k.Current().Rooms) != 1 {
+		t.Errorf("in force: %+v", k.Current())
+	}
+}
+
+// Whatever is taken is a list that can be used.
+func FuzzParse(f *testing.F) {
+	seedcorpus.Add(f, []byte(`{"rooms":[{"name":"s-1","address":"127.0.0.1:9000","zone":"a","weight":1.5,"drain":true}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		l, err := Parse(raw)
+		if err == nil && (len(l.Rooms) == 0 || l.Rooms[0].Name == "" || l.Rooms[0].Zone == "") {
+			t.Errorf("%q is taken as %+v", raw, l)
+		}
+	})
+}
--- a/internal/snmp/tree.go
+++ b/internal/snmp/tree.go
@@ -89,6 +89,7 @@
 	counter("cpTokensGiven", ".16", func(s *core.Snapshot) uint64 { return s.Given }),
 	counter("cpTokensUnsealed", ".17", func(s *core.Snapshot) uint64 { return s.Unsealed }),
 	counter("cpSessionsResumed", ".18", func(s *core.Snapshot) uint64 { return s.Resumed }),
+	counter("cpGeneration", ".19", func(s *core.Snapshot) uint64 { return s.Generation }),
 }
 
 var columns = []column[core.SubchannelRow]{
