Show twenty balancers that reload, are killed and renewed under load, without an answer lost

The lab gains games that end, a list file, SIGHUP at an interval, renewal by the hand-over, the balancers' memory and generations, and connections that broke other than by a kill. The checker no longer blames a killed balancer for a request that was written in the moment of the kill. The reason 'off', which nothing gave, is gone.

--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -30,12 +30,15 @@
 	Sessions  int       `json:"sessions"`
 	Group     int       `json:"group"`
 	Fill      float64   `json:"fill_s"`
+	Life      float64   `json:"life_s"`
 	Every     int       `json:"every_ms"`
 	Patience  int       `json:"patience_ms"`
 	State     int       `json:"state_bytes"`
 	Seconds   float64   `json:"seconds"`
 	Tokens    bool      `json:"tokens"`
 	Beside    bool      `json:"beside_without_tokens"`
+	ListFile  bool      `json:"list_file"`
+	Reload    float64   `json:"reload_every_s"`
 	Notice    int       `json:"notice_ms"`
 	RollLag   int       `json:"roll_lag_ms"`
 	Troubles  []Trouble `json:"troubles"`
@@ -54,7 +57,7 @@
 	switch t.Do {
 	case "drain", "return", "crash":
 		return fmt.Sprintf("%s room server s-%d", t.Do, t.Room)
-	case "kill", "restart":
+	case "kill", "restart", "renew":
 		return fmt.Sprintf("%s balancer n%d", t.Do, t.Balancer)
 	case "replay":
 		return fmt.Sprintf("%.0f %% of the clients replay their tokens at two balancers", 100*t.Share)
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -22,6 +22,16 @@
 	RulesBroken   int               `json:"rules_broken"`
 	P50           float64           `json:"resume_ms_p50"`
 	P99           float64           `json:"resume_ms_p99"`
+	Instances     int               `json:"instances"`
+	Reloads       uint64            `json:"reloads"`       // taken over, by the balancers alive at the end
+	ReloadsLeast  uint64            `json:"reloads_least"` // of one that lived throughout
+	Killed        int               `json:"killed"`
+	Renewed       int               `json:"renewed"`
+	Over          int               `json:"games_over"` // played to their end
+	Answers       int               `json:"answers"`
+	LostAnswers   int               `json:"lost_answers"`
+	BrokenUnmoved int               `json:"broken_connections_not_moved"` // other than by a kill -9
+	RSS           float64           `json:"rss_mb_per_instance"`
 	Refused       int               `json:"refused"`
 	Failed        int               `json:"failed"`
 	Raced         int               `json:"raced"`      // tokens presented at two balancers beside their owner's request,
@@ -77,6 +87,13 @@
 	for _, why := range slices.Sorted(maps.Keys(r.Reasons)) {
 		row("of these "+why, number(func(c Result) int { return c.Reasons[why] }))
 	}
+	row("balancers", number(func(c Result) int { return c.Instances }))
+	row("killed, renewed", func(c Result) string { return fmt.Sprintf("%d, %d", c.Killed, c.Renewed) })
+	row("reloads, least of one", func(c Result) string { return fmt.Sprintf("%d, %d", c.Reloads, c.ReloadsLeast) })
+	row("games over", number(func(c Result) int { return c.Over }))
+	row("answers, lost", func(c Result) string { return fmt.Sprintf("%d, %d", c.Answers, c.LostAnswers) })
+	row("broken without MOVE", number(func(c Result) int { return c.BrokenUnmoved }))
+	row("MB a balancer", func(c Result) string { return fmt.Sprintf("%.1f", c.RSS) })
 	row("refused", number(func(c Result) int { return c.Refused }))
 	row("failed", number(func(c Result) int { return c.Failed }))
 	row("tokens raced", number(func(c Result) int { return c.Raced }))
--- a/internal/resume/flow.go
+++ b/internal/resume/flow.go
@@ -30,13 +30,12 @@
 	Stale                     // the state is older than what the client knows to be acknowledged
 	Lost                      // whether the move was committed cannot be known
 	Unsupported               // the new room server does not know the extension
-	Off                       // this balancer does not resume sessions
 	Reasons                   // their number
 )
 
 func (r Reason) String() string {
 	return [...]string{"malformed", "version", "unknown-key", "forged", "expired", "site", "room", "used", "over", "gone", "late",
-		"large", "stale", "lost", "unsupported", "off"}[r]
+		"large", "stale", "lost", "unsupported"}[r]
 }
 
 // Refused tells whether the reason lies in the token itself.
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -60,6 +60,7 @@
 	Broken        []string // rules, in words
 	AttachedTwice int      // sessions that played at two places at once, or at one epoch twice
 	EpochsBack    int
+	LostAnswers   int // requests that were taken and got none
 	Lost          int // sessions that lost acknowledged moves, or were left without any answer
 	Anew          int
 	Resumed       int
@@ -71,6 +72,7 @@
 	requests map[string]*request
 	told     map[[2]string]time.Duration // by balancer and room server
 	sessions map[string]*session
+	dead     map[string]bool // balancers that were killed and not started again
 	report   Report
 }
 
@@ -93,7 +95,7 @@
 // New returns a checker.
 func New(f Figures) *Checker {
 	return &Checker{figures: f, requests: map[string]*request{}, told: map[[2]string]time.Duration{},
-		sessions: map[string]*session{}}
+		sessions: map[string]*session{}, dead: map[string]bool{}}
 }
 
 func (c *Checker) breaks(format string, args ...any) {
@@ -124,6 +126,7 @@
 	case Taken:
 		r := c.request(e.Request)
 		r.balancer, r.until = e.Balancer, e.Until
+		r.gone = c.dead[e.Balancer] // written into a connection that the kill has cut
 	case Answered:
 		r := c.request(e.Request)
 		if r.answered {
@@ -138,9 +141,11 @@
 	case Cut:
 		if r := c.request(e.Request); !r.answered && !r.gone {
 			c.breaks("%v: request %s was cut off without an answer by %s", e.At, e.Request, r.balancer)
+			c.report.LostAnswers++
 			r.gone = true
 		}
 	case Killed:
+		c.dead[e.Balancer] = true
 		for _, r := range c.requests {
 			if r.balancer == e.Balancer {
 				r.gone = true
@@ -155,6 +160,7 @@
 			c.second(r, e.Request, e.Server, e.At)
 		}
 	case Fresh:
+		delete(c.dead, e.Balancer)
 		maps.DeleteFunc(c.told, func(k [2]string, _ time.Duration) bool { return k[0] == e.Balancer })
 	case Told:
 		if _, ok := c.told[[2]string{e.Balancer, e.Server}]; !ok {
@@ -239,6 +245,7 @@
 	slices.SortFunc(ids, cmp.Compare[string])
 	for _, id := range ids {
 		if q := c.requests[id]; q.until > 0 && !q.answered && !q.gone && now > q.until+c.figures.Slack {
+			r.LostAnswers++
 			r.Broken = append(r.Broken, fmt.Sprintf("request %s was never answered by %s", id, q.balancer))
 		}
 	}
--- a/internal/standin/player.go
+++ b/internal/standin/player.go
@@ -71,6 +71,7 @@
 	Tenant   string
 	Patience time.Duration // for one request
 	Every    time.Duration // between two moves of the game
+	Life     time.Duration // mean of a game, drawn from an exponential distribution; 0: none ends
 	Tokens   bool          // they know the resumption
 	Tally    *Tally
 }
@@ -78,6 +79,8 @@
 // Tally counts what players met; Resume gets the time from MOVE, or the break, to
 // the board being back.
 type Tally struct {
+	BrokeAt                                                     func(balancer string) // of a connection that stood and broke
+	Answers, Over                                               atomic.Int64          // answers read, games played to their end
 	Placed, Moved, Broke, Resumed, StartedOver, Refused, Failed atomic.Int64
 	Raced, RacedUp                                              atomic.Int64        // tokens presented beside their owner's request, and those let in first
 	Replays, ReplaysUp                                          atomic.Int64        // tokens presented after they had done their work, and those let in
@@ -175,11 +178,12 @@
 		return p.jitter(20*time.Millisecond, 100*time.Millisecond)
 	}
 	cfg.Recorder.Add(rules.Event{Kind: rules.Answered, Request: id, Text: line})
+	t.Answers.Add(1)
 	word, rest, _ := strings.Cut(line, " ")
 	switch word {
 	case "UP":
 		t.Placed.Add(1)
-		return p.stands(ctx, conn, r, asked)
+		return p.stands(ctx, conn, r, name, asked)
 	case "BUSY":
 		t.Refused.Add(1)
 		ms, _ := strconv.Atoi(rest)
@@ -219,7 +223,7 @@
 }
 
 // stands plays on a connection that stands, until it ends.
-func (p *Player) stands(ctx context.Context, conn net.Conn, r *bufio.Reader, asked string) time.Duration {
+func (p *Player) stands(ctx context.Context, conn net.Conn, r *bufio.Reader, name, asked string) time.Duration {
 	if p.cfg.Tokens {
 		if !p.hasBoard(conn, r, asked) {
 			return p.left()
@@ -250,15 +254,25 @@
 			}
 		}
 	}()
+	var over <-chan time.Time
+	if p.cfg.Life > 0 {
+		over = time.After(time.Duration(p.rng.ExpFloat64() * float64(p.cfg.Life)))
+	}
 	next := time.NewTimer(p.jitter(0, p.cfg.Every))
 	defer next.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return 0
+		case <-over:
+			if _, err := io.WriteString(conn, "BYE\r\n"); err != nil {
+				return p.broke(name)
+			}
+			next.Stop()
+			over = nil
 		case <-next.C:
 			if _, err := fmt.Fprintf(conn, "PLAY %d\r\n", p.acked+1); err != nil {
-				return p.broke()
+				return p.broke(name)
 			}
 			next.Reset(p.cfg.Every)
 		case line, ok := <-lines:
@@ -266,7 +280,13 @@
 				if ctx.Err() != nil {
 					return 0
 				}
-				return p.broke()
+				return p.broke(name)
+			}
+			if line == "BYE" { // the game is over, the next one begins
+				p.cfg.Tally.Over.Add(1)
+				p.token, p.used, p.acked = "", "", 0
+				p.session++
+				return p.jitter(0, p.cfg.Every)
 			}
 			if p.hear(line) {
 				p.cfg.Tally.Moved.Add(1)
@@ -319,7 +339,10 @@
 	return p.jitter(0, 40*time.Millisecond)
 }
 
-func (p *Player) broke() time.Duration {
+func (p *Player) broke(name string) time.Duration {
+	if p.cfg.Tally.BrokeAt != nil {
+		p.cfg.Tally.BrokeAt(name)
+	}
 	p.cfg.Tally.Broke.Add(1)
 	p.left()
 	return p.jitter(20*time.Millisecond, 200*time.Millisecond)
