Tell how instances are with one command: cottonplank status

'cottonplank status ADDRESS...' asks all at once, twice, and shows state, generation, open connections, room servers and rates, or JSON. The client of the management address stands in internal/management, and the lab uses it in place of its own.

--- a/cmd/cottonplank/command.go
+++ b/cmd/cottonplank/command.go
@@ -67,7 +67,8 @@
 	for _, c := range []*cobra.Command{serving, checking} {
 		c.Flags().StringVar(&fronts, "fronts", "", "`file` that switches QUIC, SNMP and the resumption of sessions on")
 	}
-	root.AddCommand(serving, checking, command("version", "Print the version", version), keyCommands(command))
+	root.AddCommand(serving, checking, statusCommand(out),
+		command("version", "Print the version", version), keyCommands(command))
 	return root
 }
 
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -1,13 +1,10 @@
 package lab
 
 import (
-	"bufio"
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -17,13 +14,13 @@
 	"syscall"
 	"time"
 
+	"cottonplank/internal/management"
 	"cottonplank/internal/token"
 )
 
 const (
 	startWait = 10 * time.Second // until a balancer answers PING
 	stopWait  = 6 * time.Second  // from SIGTERM to the end
-	askWait   = 2 * time.Second
 )
 
 // balancer is one process.
@@ -114,7 +111,7 @@
 		close(b.ended)
 	}()
 	for end := time.Now().Add(startWait); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if line, err := ask(b.management, "PING"); err == nil && strings.HasPrefix(line, "200 ") {
+		if lines, err := management.Ask(ctx, b.management, "PING"); err == nil && strings.HasPrefix(lines[0], "200 ") {
 			return nil
 		}
 		select {
@@ -185,43 +182,14 @@
 	}
 }
 
-// ask makes one call at a management address and returns its first line.
-func ask(address, call string) (string, error) {
-	lines, err := askAll(address, call)
-	if err != nil || len(lines) == 0 {
-		return "", errors.Join(err, io.EOF)
-	}
-	return lines[0], nil
-}
-
-func askAll(address, call string) (lines []string, err error) {
-	conn, err := net.DialTimeout("tcp", address, askWait)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(askWait))
-	if _, err := io.WriteString(conn, call+"\r\n"); err != nil {
-		return nil, err
-	}
-	all := bufio.NewScanner(conn)
-	for all.Scan() {
-		lines = append(lines, strings.TrimSuffix(all.Text(), "\r"))
-	}
-	return lines, all.Err()
-}
-
 // figures adds the balancer's own counts to a table.
 func (b *balancer) figures(into map[string]uint64) error {
-	lines, err := askAll(b.management, "INFO")
+	figures, err := management.Figures(context.Background(), b.management)
 	if err != nil {
-		return fmt.Errorf("balancer %s: INFO: %w", b.name, err)
+		return fmt.Errorf("balancer %s: %w", b.name, err)
 	}
-	for _, line := range lines {
-		name, value, ok := strings.Cut(strings.TrimPrefix(line, "svc."), "=")
-		if n, err := strconv.ParseUint(value, 10, 64); ok && err == nil {
-			into[name] += n
-		}
+	for name, n := range figures {
+		into[name] += n
 	}
 	return nil
 }
--- a/internal/line/resume.go
+++ b/internal/line/resume.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
 	"io"
 	"net"
 	"net/textproto"
@@ -307,7 +306,7 @@
 	}
 	if n.err != nil {
 		c.closeHolder()
-		c.step(c.session.flow.HolderLost(errors.Is(n.err, context.DeadlineExceeded)))
+		c.step(c.session.flow.HolderLost())
 		return
 	}
 	if n.answer.Verdict == ledger.Granted {
@@ -330,7 +329,7 @@
 		return // the next attempt asks what became of it
 	}
 	if n.err != nil {
-		c.step(c.session.flow.HolderLost(false))
+		c.step(c.session.flow.HolderLost())
 		return
 	}
 	c.step(c.session.flow.Committed(n.yes))
--- a/internal/resume/flow.go
+++ b/internal/resume/flow.go
@@ -162,8 +162,8 @@
 	return f.over(Gone)
 }
 
-// HolderLost tells that the connection to Holder broke or brought no timely answer. With it ends the claim.
-func (f *Flow) HolderLost(late bool) Step {
+// HolderLost tells that the connection to Holder broke. With it ends the claim.
+func (f *Flow) HolderLost() Step {
 	switch {
 	case f.asked && !f.lost:
 		// Whether it was committed is known there alone. Asked again by the same claim, it gives the state once more
@@ -173,8 +173,6 @@
 		return Locate
 	case f.asked, f.lost:
 		return f.over(Lost)
-	case late:
-		return f.over(Late)
 	}
 	return f.over(Gone)
 }
--- a/internal/resume/model_test.go
+++ b/internal/resume/model_test.go
@@ -140,7 +140,7 @@
 		}
 		if lost != 0 {
 			holder.l.Left(w.now, r.export, session)
-			next = f.HolderLost(false)
+			next = f.HolderLost()
 		} else {
 			next = f.HolderSaid(a)
 		}
@@ -173,7 +173,7 @@
 	case Commit:
 		yes := lost != 1 && holder.l.Commit(w.now, session, f.Claim, r.at)
 		if lost != 0 {
-			next = f.HolderLost(false)
+			next = f.HolderLost()
 		} else {
 			next = f.Committed(yes)
 		}
