--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -116,11 +116,14 @@
 	Waits()
 }
 
-// nobody hears of no turn.
-type nobody struct{}
-
-func (nobody) Busy()  {}
-func (nobody) Waits() {}
+// Turn runs one turn of an actor and lets t hear of it; nil: nobody hears.
+func Turn(t Turns, do func()) {
+	if t != nil {
+		t.Busy()
+		defer t.Waits()
+	}
+	do()
+}
 
 // Config is what a Module starts with.
 type Config struct {
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -99,9 +99,6 @@
 
 // New checks the settings and returns a module that Run starts.
 func New(cfg Config) (*Module, error) {
-	if cfg.Turns == nil {
-		cfg.Turns = nobody{}
-	}
 	b, err := decide.New(cfg.Settings)
 	if err != nil {
 		return nil, fmt.Errorf("decision module: %w", err)
@@ -142,21 +139,26 @@
 		case <-ctx.Done():
 			return
 		case turn := <-m.inbox:
-			m.cfg.Turns.Busy()
-			m.tick()
-			turn()
+			Turn(m.cfg.Turns, func() { m.turn(turn) })
 		case <-timer.C:
-			m.cfg.Turns.Busy()
+			Turn(m.cfg.Turns, func() { m.turn(nil) })
 		}
-		m.tick()
-		m.deadlines.sweep(m.now)
 		if at, ok := m.deadlines.next(); ok {
 			timer.Reset(max(at-m.now, 0))
 		}
-		m.cfg.Turns.Waits()
 	}
 }
 
+// turn does what the mailbox brought, if anything, and what has fallen due.
+func (m *Module) turn(do func()) {
+	if do != nil {
+		m.tick()
+		do()
+	}
+	m.tick()
+	m.deadlines.sweep(m.now)
+}
+
 // tick reads the host clock, the module's only time.
 func (m *Module) tick() { m.now = clockStart + time.Since(m.epoch) }
 
--- a/internal/line/front.go
+++ b/internal/line/front.go
@@ -161,13 +161,7 @@
 	for f.roomToAccept(ctx) {
 		conn, err := l.AcceptTCP()
 		if err == nil {
-			if f.turns != nil {
-				f.turns.Busy()
-			}
-			f.accept(ctx, conn)
-			if f.turns != nil {
-				f.turns.Waits()
-			}
+			core.Turn(f.turns, func() { f.accept(ctx, conn) })
 			continue
 		}
 		f.free()
--- a/internal/quic/front.go
+++ b/internal/quic/front.go
@@ -92,9 +92,9 @@
 		case <-ctx.Done():
 			return
 		case d := <-f.datagrams:
-			f.watched(func() { f.route(ctx, d) })
+			core.Turn(f.watch, func() { f.route(ctx, d) })
 		case turn := <-f.turns:
-			f.watched(turn)
+			core.Turn(f.watch, turn)
 		}
 	}
 }
@@ -102,15 +102,6 @@
 // Watch lets a watchdog hear of the router's turns; it is called before Serve.
 func (f *Front) Watch(turns core.Turns) { f.watch = turns }
 
-// watched runs one turn.
-func (f *Front) watched(turn func()) {
-	if f.watch != nil {
-		f.watch.Busy()
-		defer f.watch.Waits()
-	}
-	turn()
-}
-
 func (f *Front) read(ctx context.Context, pause *handover.Pause) {
 	buf := make([]byte, maxDatagram)
 	for {
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -106,15 +106,6 @@
 // Watch lets a watchdog hear of the actor's turns; it is called before Run.
 func (r *Resolver) Watch(turns core.Turns) { r.turns = turns }
 
-// turn runs one turn.
-func (r *Resolver) turn(do func()) {
-	if r.turns != nil {
-		r.turns.Busy()
-		defer r.turns.Waits()
-	}
-	do()
-}
-
 // Run is the actor; it ends with ctx and with all its calls.
 func (r *Resolver) Run(ctx context.Context) {
 	defer r.calls.Wait()
@@ -123,9 +114,9 @@
 		case <-ctx.Done():
 			return
 		case c := <-r.orders:
-			r.turn(func() { r.begin(ctx, c) })
+			core.Turn(r.turns, func() { r.begin(ctx, c) })
 		case n := <-r.news:
-			r.turn(func() { r.hear(n) })
+			core.Turn(r.turns, func() { r.hear(n) })
 		}
 	}
 }
--- a/internal/roomfile/roomfile.go
+++ b/internal/roomfile/roomfile.go
@@ -140,12 +140,12 @@
 		case <-ctx.Done():
 			return
 		case order := <-s.orders:
-			s.turn(func() {
+			core.Turn(s.turns, func() {
 				s.watch = order
 				s.sink.Resolved(core.Result{Kind: decide.ListFull, Instances: Instances(s.keeper.Current())})
 			})
 		case l := <-s.offers:
-			s.turn(func() { s.found(l, true) })
+			core.Turn(s.turns, func() { s.found(l, true) })
 		case <-signs:
 			if since.IsZero() {
 				since = time.Now()
@@ -156,25 +156,17 @@
 			read.Reset(settle)
 		case <-read.C:
 			since = time.Time{}
-			s.turn(s.read)
+			core.Turn(s.turns, s.read)
 		case <-look.C:
-			s.turn(s.read)
+			core.Turn(s.turns, s.read)
 		case <-alive.C:
 			if s.watch != nil && s.watch.Err() == nil {
-				s.turn(s.sink.ListAlive)
+				core.Turn(s.turns, s.sink.ListAlive)
 			}
 		}
 	}
 }
 
-func (s *Source) turn(do func()) {
-	if s.turns != nil {
-		s.turns.Busy()
-		defer s.turns.Waits()
-	}
-	do()
-}
-
 // read takes over what the file holds now. A faulty one changes nothing, and is told once.
 func (s *Source) read() {
 	l, err := Read(s.path)
--- a/internal/token/token_test.go
+++ b/internal/token/token_test.go
@@ -147,6 +147,9 @@
 	if _, err := r.Open(text, "armor", tok.Expires.Add(-time.Second)); err != nil {
 		t.Errorf("the retired key's last token, before it expires: %v", err)
 	}
+	if _, err := r.Open(text, "armor", noon.Add(time.Hour+4*time.Minute)); !errors.Is(err, ErrKey) {
+		t.Errorf("the retired key's last token, once it is retired: %v", err)
+	}
 	if _, err := testRing(t, old).Seal(tok, noon.Add(2*time.Minute), random); err == nil {
 		t.Error("sealed with a key out of use")
 	}
