Probe where own connections stand, and fill servers under 0.7 first

At fault: probe in decide/decide.go, which went round the zone whatever the balancer held, and pick, which kept a group at its first server up to 0.8 while its next ones stood at 0.2. Where a balancer holds connections at fewer servers than its zone has, three of four steady probes and all hot ones go to those; one that holds none probes the less the more balancers there are.

TestProbesOfManyGoToTheirConnections: 80 balancers 100 probes a second with 85 % idle before, 65 with 9 % now; 300 balancers 362 before, 77 now.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,6 +54,8 @@
 	poolUses     = 2    // placements on one answer, so that few balancers follow the same one
 	probeShare   = 0.01 // worth spent on probes, as a part of what is placed,
 	probeLeast   = 0.5  // and probes a second when little is placed
+	probeFew     = 4.0  // shared out where more balancers than this hold nothing
+	poolTurn     = 4    // one steady probe in so many is the pool's where a balancer holds few connections
 	probeDebt    = 4    // probes ahead of the steady ones, for servers with slow messages
 	askCount     = 2    // servers of a zone that are asked for a request when none is known to have room,
 	homeCount    = 3    // servers of a group in a zone
@@ -243,7 +245,7 @@
 	room := func(s *server) bool { return known(s) && s.load < roomy }
 	homes, away := b.homes(r, b.local), b.homes(r, b.remote)
 	for i := range homeCount {
-		if i < len(homes) && known(homes[i]) {
+		if i < len(homes) && room(homes[i]) {
 			return homes[i]
 		}
 		if i < len(away) && room(away[i]) { // it is home to the group in its zone, most likely
@@ -251,6 +253,9 @@
 			return away[i]
 		}
 	}
+	if s := first(homes, known); s != nil {
+		return s
+	}
 	// Guards against a crowd that strews its groups: a server pays for each that it holds any of, so a fleet
 	// short of room loses what is left of it, and does not come out of it by itself. They wait for room.
 	short := func(s *server) bool { return b.over(s) || b.cold(s) }
@@ -586,17 +591,29 @@
 		return
 	}
 	worth := max(b.rate, float64(len(b.requests))/usualLife.Seconds()) // in requests a second
-	rate := max(probeLeast, worth*probeShare/cmp.Or(b.set.Prices.Probe, math.Inf(1)))
+	// One of many balancers holds connections at few servers. What it learns of the others serves nobody: a
+	// request asks for what it depends on. Guards against a fleet that probes more than it places, and yet
+	// finds late what overloads its own connections.
+	own, near := holding(b.ready), b.local
+	few, least := len(own) > 0 && len(own) < len(b.local), probeLeast
+	if len(own) == 0 { // nothing to watch over: all such together probe as a few do
+		least *= min(1, probeFew/float64(b.set.Balancers))
+	}
+	rate := max(least, worth*probeShare/cmp.Or(b.set.Prices.Probe, math.Inf(1)))
 	away := b.remote
 	if !b.spilling() { // Guards against a server elsewhere whose overload nobody tells: those that hold own
 		away = holding(b.remote) // connections are looked at, or these would stay there.
 	}
+	hot := append(holding(b.remote), b.local...)
+	if few {
+		near, away, hot = own, nil, own
+	}
 	if s := first(away, func(s *server) bool { return s.at == 0 && b.now-s.asked > askMost }); s != nil {
 		s.asked = b.now // one that was never looked at comes ahead of the steady probes
 		b.do(Probe{Server: s.ID})
 	}
 	b.hotCredit = min(b.hotCredit+rate*tick.Seconds(), probeDebt)
-	for _, s := range append(holding(b.remote), b.local...) {
+	for _, s := range hot {
 		// Guards against overload that is found late: all that such a server holds is served badly meanwhile.
 		if s.load > roomy && b.now-max(s.at, s.asked) >= hotAge && b.hotCredit >= 1 {
 			s.asked = b.now
@@ -610,7 +627,10 @@
 			b.do(Probe{Server: away[b.probeTurn/2%len(away)].ID})
 			continue
 		}
+		if few && b.probeTurn%poolTurn == 0 { // the pool is fed all the same
+			near = b.local
+		}
 		b.probeNext++
-		b.do(Probe{Server: b.local[b.probeNext%len(b.local)].ID})
+		b.do(Probe{Server: near[b.probeNext%len(near)].ID})
 	}
 }
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -9,21 +9,22 @@
 // manyBalancers runs many balancers against one small set of servers, whose loads are what all of them together send:
 // one unit a connection and groupLoad for each group that a server holds any of. Reports are lag old.
 type manyBalancers struct {
-	t         *testing.T
-	now       time.Duration
-	rng       *rand.Rand
-	balancers []*Balancer
-	due       [][]dueEvent // of each balancer
-	servers   map[ServerID]*fleetServer
-	list      []Server
-	sent      map[ServerID][]time.Duration // attempts, as the servers see them
-	probes    int
-	polls     int // calls to discovery
-	refused   int
-	moved     int
-	next      int
-	groups    map[RequestID]string
-	homes     map[RequestID]ServerID // where connections stand
+	t          *testing.T
+	now        time.Duration
+	rng        *rand.Rand
+	balancers  []*Balancer
+	due        [][]dueEvent // of each balancer
+	servers    map[ServerID]*fleetServer
+	list       []Server
+	sent       map[ServerID][]time.Duration // attempts, as the servers see them
+	probes     int
+	idleProbes int // at servers where the asker holds nothing
+	polls      int // calls to discovery
+	refused    int
+	moved      int
+	next       int
+	groups     map[RequestID]string
+	homes      map[RequestID]ServerID // where connections stand
 }
 
 type dueEvent struct {
@@ -89,6 +90,9 @@
 			f.due[i] = append(f.due[i], dueEvent{f.now + a.Wait, TimerFired{Token: a.Token}})
 		case Probe:
 			f.probes++
+			if len(f.balancers[i].servers[a.Server].conns) == 0 {
+				f.idleProbes++
+			}
 			s := f.servers[a.Server]
 			r := Report{Load: 0, Held: float64(s.conns)}
 			if n := len(s.past) - int(fleetLag/fleetStep); n >= 0 {
@@ -224,3 +228,26 @@
 		}
 	}
 }
+
+// Guards against a fleet that probes more than it places: each balancer alone takes its steady probes for few, and
+// all together ask every server many times a second, mostly for what nobody uses.
+func TestProbesOfManyGoToTheirConnections(t *testing.T) {
+	for _, c := range []struct {
+		n    int
+		most float64 // probes a second at all servers, and the part of them that went where the asker holds nothing
+		idle float64
+	}{{3, 45, 1}, {80, 80, 0.35}, {300, 95, 0.35}} {
+		f := newFleet(t, fleetSettings(), c.n, servers(9, 0), 26)
+		f.run(15*time.Second, 0.06, fleetGroups)
+		f.probes, f.idleProbes = 0, 0
+		f.run(10*time.Second, 0, fleetGroups)
+		rate, idle := float64(f.probes)/10, float64(f.idleProbes)/float64(max(f.probes, 1))
+		t.Logf("%d balancers: %.1f probes a second, %.2f of them where the asker holds nothing", c.n, rate, idle)
+		if rate > c.most || idle > c.idle {
+			t.Errorf("%d balancers: %.1f probes a second, %.2f of them idle, at most %.0f and %.2f wanted", c.n, rate, idle, c.most, c.idle)
+		}
+		if f.probes == 0 {
+			t.Errorf("%d balancers: overload would never be found", c.n)
+		}
+	}
+}
