Keep a group in its own zone while a server there has room

At fault: the loop in pick that took the zones in turn. Now the own zone's servers under 0.7 come first, then those elsewhere, then the own zone's that are not full.

TestGroupStaysInItsZoneWhileThereIsRoom fails without the change.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -244,14 +244,12 @@
 	known := func(s *server) bool { return fit(s) && b.fresh(s) }
 	room := func(s *server) bool { return known(s) && s.load < roomy }
 	homes, away := b.homes(r, b.local), b.homes(r, b.remote)
-	for i := range homeCount {
-		if i < len(homes) && room(homes[i]) {
-			return homes[i]
-		}
-		if i < len(away) && room(away[i]) { // it is home to the group in its zone, most likely
-			b.spillAt = b.now
-			return away[i]
-		}
+	if s := first(homes, room); s != nil {
+		return s
+	}
+	if s := first(away, room); s != nil { // it is home to the group in its zone, most likely
+		b.spillAt = b.now
+		return s
 	}
 	if s := first(homes, known); s != nil {
 		return s
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -917,6 +917,26 @@
 	}
 }
 
+// The own zone first: a group's second server here has room, so its first one elsewhere is left alone, and comes
+// before one here that is nearly full.
+func TestGroupStaysInItsZoneWhileThereIsRoom(t *testing.T) {
+	w := newWorld(t, groups())
+	w.full(servers(6, 6))
+	r := &request{Requested: Requested{Group: "taxi-7"}}
+	homes, away := w.b.homes(r, w.b.local), w.b.homes(r, w.b.remote)
+	for i, load := range []float64{0.75, 0.5, 0.78} {
+		w.report(homes[i].ID, load)
+		w.report(away[i].ID, 0.1)
+	}
+	if s := w.placed(w.askGroup("r", "taxi-7")); s != homes[1].ID {
+		t.Errorf("went to %d, want the zone's second server %d", s, homes[1].ID)
+	}
+	w.report(homes[1].ID, 0.79)
+	if s := w.placed(w.askGroup("r2", "taxi-7")); s != away[0].ID {
+		t.Errorf("went to %d, want the first one elsewhere %d", s, away[0].ID)
+	}
+}
+
 // Guards against groups spread over many servers, each of which pays for the group once more.
 func TestGroupStaysOnItsServersUntilTheyAreFull(t *testing.T) {
 	w := newWorld(t, groups())
