Rank a group's servers once for each list, in one pass

A probe turn that fed the pool kept the rest of that tick's probes there. The many-balancers test kept fields that nothing read, and its cold test did not fail with a budget ten times as wide.

Change: request keeps its ranked servers until the list changes; homes takes one pass; probe chooses its list in one place. The cold test now puts a crowd against it and fails with that planted budget at 3 and 30 balancers, not yet at 80. No check is loosened.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -57,7 +57,7 @@
 	probeFew     = 4.0  // shared out where more balancers than this hold nothing
 	poolTurn     = 4    // one steady probe in so many is the pool's where a balancer holds few connections
 	probeDebt    = 4    // probes ahead of the steady ones, for servers with slow messages
-	askCount     = 2    // servers of a zone that are asked for a request when none is known to have room,
+	askCount     = 2    // servers of a zone that are asked for a request when none is known to have room
 	homeCount    = 3    // servers of a group in a zone
 	ejectPart    = 0.5  // part of the cache that may be ejected at once
 	coldSafety   = 0.5  // part of the slow-start budget that is used where each balancer has requests,
@@ -128,6 +128,7 @@
 // cache rebuilds the cached lists; records of servers that are gone and hold nothing are dropped.
 func (b *Balancer) cache() {
 	b.local, b.remote, b.ready = b.local[:0], b.remote[:0], b.ready[:0]
+	b.lists++
 	for id, s := range b.servers {
 		switch {
 		case s.State == Ready:
@@ -243,7 +244,7 @@
 	}
 	known := func(s *server) bool { return fit(s) && b.fresh(s) }
 	room := func(s *server) bool { return known(s) && s.load < roomy }
-	homes, away := b.homes(r, b.local), b.homes(r, b.remote)
+	homes, away := b.ranked(r)
 	if s := first(homes, room); s != nil {
 		return s
 	}
@@ -335,8 +336,19 @@
 		u := (float64(mix(group, uint64(s.ID))>>11) + 0.5) / (1 << 53)
 		return -math.Log(u) / cmp.Or(s.Weight, 1)
 	}
-	for range min(homeCount, len(list)) {
-		homes = append(homes, least(list, func(s *server) bool { return !slices.Contains(homes, s) }, score))
+	keys := make([]float64, 0, homeCount+1)
+	homes = make([]*server, 0, homeCount+1)
+	for _, s := range list { // one pass: this is most of what a grouped request costs
+		key := score(s)
+		i := len(keys)
+		for i > 0 && key < keys[i-1] {
+			i--
+		}
+		if i < homeCount {
+			keys, homes = slices.Insert(keys, i, key), slices.Insert(homes, i, s)
+			n := min(len(keys), homeCount)
+			keys, homes = keys[:n], homes[:n]
+		}
 	}
 	return homes
 }
@@ -345,17 +357,18 @@
 // cache order when no answer in the pool shows room. The request waits a moment for the answers. Where the
 // group's first server showed room of late, that is enough.
 func (b *Balancer) ask(r *request) {
-	known := slices.ContainsFunc(b.pool, func(s *server) bool {
+	known := b.grouped(r) || slices.ContainsFunc(b.pool, func(s *server) bool {
 		return b.fresh(s) && s.load < roomy && b.warmEnough(r, s)
 	})
-	for i, list := range [2][]*server{b.local, b.remote} {
-		targets := b.homes(r, list)
+	homes, far := b.ranked(r)
+	for i, targets := range [2][]*server{homes, far} {
+		list := [2][]*server{b.local, b.remote}[i]
 		settled := i == 0 && len(targets) > 0 && targets[0].load < roomy && b.now-targets[0].at < b.askAfter()
 		if !b.set.MayProbe || settled || i > 0 && !b.spilling() && !b.grouped(r) {
 			return
 		}
 		targets = targets[:min(askCount, len(targets))]
-		for n := 0; !known && !b.grouped(r) && n < min(askCount, len(list)); n++ {
+		for n := 0; !known && n < min(askCount, len(list)); n++ {
 			b.probeNext++
 			targets = append(targets, list[b.probeNext%len(list)])
 		}
@@ -589,21 +602,20 @@
 		return
 	}
 	worth := max(b.rate, float64(len(b.requests))/usualLife.Seconds()) // in requests a second
-	// One of many balancers holds connections at few servers. What it learns of the others serves nobody: a
-	// request asks for what it depends on. Guards against a fleet that probes more than it places, and yet
-	// finds late what overloads its own connections.
 	own, near := holding(b.ready), b.local
-	few, least := len(own) > 0 && len(own) < len(b.local), probeLeast
+	least := probeLeast
 	if len(own) == 0 { // nothing to watch over: all such together probe as a few do
 		least *= min(1, probeFew/float64(b.set.Balancers))
 	}
 	rate := max(least, worth*probeShare/cmp.Or(b.set.Prices.Probe, math.Inf(1)))
-	away := b.remote
+	away, hot := b.remote, append(holding(b.remote), b.local...)
 	if !b.spilling() { // Guards against a server elsewhere whose overload nobody tells: those that hold own
 		away = holding(b.remote) // connections are looked at, or these would stay there.
 	}
-	hot := append(holding(b.remote), b.local...)
-	if few {
+	// One of many balancers holds connections at few servers. What it learns of the others serves nobody: a
+	// request asks for what it depends on. Guards against a fleet that probes more than it places, and yet
+	// finds late what overloads its own connections.
+	if len(own) > 0 && len(own) < len(b.local) {
 		near, away, hot = own, nil, own
 	}
 	if s := first(away, func(s *server) bool { return s.at == 0 && b.now-s.asked > askMost }); s != nil {
@@ -625,10 +637,11 @@
 			b.do(Probe{Server: away[b.probeTurn/2%len(away)].ID})
 			continue
 		}
-		if few && b.probeTurn%poolTurn == 0 { // the pool is fed all the same
-			near = b.local
+		from := near
+		if b.probeTurn%poolTurn == 0 { // the pool is fed all the same
+			from = b.local
 		}
 		b.probeNext++
-		b.do(Probe{Server: near[b.probeNext%len(near)].ID})
+		b.do(Probe{Server: from[b.probeNext%len(from)].ID})
 	}
 }
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -7,9 +7,9 @@
 )
 
 // manyBalancers runs many balancers against one small set of servers, whose loads are what all of them together send:
-// one unit a connection and groupLoad for each group that a server holds any of. Reports are lag old.
+// one unit a connection and groupLoad for each group that a server holds any of. Reports are fleetLag
+// old. Connections stand for good: a Move is not carried out.
 type manyBalancers struct {
-	t          *testing.T
 	now        time.Duration
 	rng        *rand.Rand
 	balancers  []*Balancer
@@ -19,12 +19,9 @@
 	sent       map[ServerID][]time.Duration // attempts, as the servers see them
 	probes     int
 	idleProbes int // at servers where the asker holds nothing
-	polls      int // calls to discovery
 	refused    int
-	moved      int
 	next       int
 	groups     map[RequestID]string
-	homes      map[RequestID]ServerID // where connections stand
 }
 
 type dueEvent struct {
@@ -47,9 +44,8 @@
 
 // newFleet makes n balancers in zone a of settings of their own, and lets them take the list.
 func newFleet(t *testing.T, set Settings, n int, list []Server, capacity float64) *manyBalancers {
-	f := &manyBalancers{t: t, now: 1000 * time.Second, rng: rand.New(rand.NewPCG(1, 2)), due: make([][]dueEvent, n), list: list,
-		servers: map[ServerID]*fleetServer{}, sent: map[ServerID][]time.Duration{}, groups: map[RequestID]string{},
-		homes: map[RequestID]ServerID{}}
+	f := &manyBalancers{now: 1000 * time.Second, rng: rand.New(rand.NewPCG(1, 2)), due: make([][]dueEvent, n), list: list,
+		servers: map[ServerID]*fleetServer{}, sent: map[ServerID][]time.Duration{}, groups: map[RequestID]string{}}
 	for _, s := range list {
 		f.servers[s.ID] = &fleetServer{capacity: capacity, groups: map[string]int{}}
 	}
@@ -101,25 +97,16 @@
 			f.due[i] = append(f.due[i], dueEvent{f.now + fleetStep, Probed{Server: a.Server, Code: OK, Report: r}})
 		case Place:
 			f.sent[a.Server] = append(f.sent[a.Server], f.now)
-			f.hold(a.ID, a.Server)
+			s := f.servers[a.Server]
+			s.conns++
+			s.groups[f.groups[a.ID]]++
 			f.due[i] = append(f.due[i], dueEvent{f.now + fleetStep, Established{ID: a.ID, Server: a.Server, Took: fleetStep}})
-		case Subscribe, FetchList:
-			f.polls++
 		case Refuse:
 			f.refused++
-		case Move:
-			f.moved++
 		}
 	}
 }
 
-func (f *manyBalancers) hold(id RequestID, server ServerID) {
-	s := f.servers[server]
-	s.conns++
-	s.groups[f.groups[id]]++
-	f.homes[id] = server
-}
-
 // run lets time pass; with every step, perStep requests come in the mean, to any balancer, of one of the groups.
 func (f *manyBalancers) run(d time.Duration, perStep float64, groups []string) {
 	for end := f.now + d; f.now < end; {
@@ -213,17 +200,19 @@
 		set := fleetSettings()
 		list := servers(6, 0)
 		f := newFleet(t, set, n, list, 26)
-		f.run(20*time.Second, 0.04, fleetGroups)
+		f.run(20*time.Second, 0.055, fleetGroups)
 		list = append(list, Server{ID: 50, Zone: "a", Started: f.now})
 		f.list, f.servers[50] = list, &fleetServer{capacity: 26, groups: map[string]int{}}
 		for i := range f.balancers {
 			f.handle(i, ListReceived{Kind: ListFull, Servers: list})
 		}
-		f.run(4*time.Second, 0.3, fleetGroups)
+		f.run(4*time.Second, 0.6, fleetGroups)
 		// Life is taken as usualLife, so 26 connections a server are 26/30 of a connection a second.
 		rules := set.Rules
 		bears := rules.FallMultiple * rules.Fall.Seconds() * 26 / usualLife.Seconds() * (rules.ColdShare + 0.28)
-		if got := f.most(50, rules.Fall); float64(got) > bears+3 {
+		got := f.most(50, rules.Fall)
+		t.Logf("%d balancers: %d within %v, bears %.1f", n, got, rules.Fall, bears)
+		if float64(got) > bears+3 {
 			t.Errorf("%d balancers: %d connections within %v at a cold server that bears %.1f", n, got, rules.Fall, bears)
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -51,6 +51,9 @@
 	out      bool          // that attempt has not ended
 	stands   bool          // its connection stands
 	tooMuch  bool          // it was moved off an overloaded server
+	homes    []*server     // its group's servers in the own zone,
+	away     []*server     // and elsewhere,
+	ranked   uint64        // by that list
 	ran      *server       // the server of the first attempt that may have run,
 	ranAt    time.Duration // sent at or after this
 }
@@ -72,6 +75,7 @@
 	servers             map[ServerID]*server
 	ready               []*server     // the ready servers of the last list, in this balancer's order
 	local, remote       []*server     // the cache: those of the own zone, where it has any, and the others
+	lists               uint64        // counts its changes
 	next                int           // rotates the cache order
 	pollAt              time.Duration // next poll
 	pollFails           int
@@ -261,6 +265,15 @@
 	return best
 }
 
+// ranked gives the homes of a request here and elsewhere, ranked once for each list: a request that waits is tried
+// at every answer.
+func (b *Balancer) ranked(r *request) (homes, away []*server) {
+	if r.ranked != b.lists {
+		r.homes, r.away, r.ranked = b.homes(r, b.local), b.homes(r, b.remote), b.lists
+	}
+	return r.homes, r.away
+}
+
 func (b *Balancer) classOf(r *request) *Class { return &b.set.Classes[r.Class] }
 
 // inOrder is the first fit server of a cached list, from where the last look ended.
