Let a move that crosses the room server's own end change nothing, as it ended the process

Checked: what a channel does between a room server's end and the core's word on it. serverEnded sets c.up to nil, leaves c.stands as it is and goes on listening; a Move that the core has put into the mailbox before it hears of the end then reads c.up.conn. The new test orders just that and panics at channel.go:187, 'invalid memory address or nil pointer dereference', without the change. Ruled out: other uses of c.up (each follows a look at nil or at the attempt's number) and of the holder's in resume.go (off there; exported, committed and located look).

Change: internal/line/channel.go, orderMove. accept's construction of a channel has a function of its own, for the test.

The stand-in closes its listener beside the call, so a connection that came meanwhile fell it again. It falls once now; the test causes it.

--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -182,7 +182,9 @@
 	case orderHolder:
 		c.located(ctx, o)
 	case orderMove:
-		if c.stands {
+		// Guards against an order that was under way when the room server ended the connection itself: as a drain
+		// sends all clients away, the module may move some of the same. What it ended is passed on already.
+		if c.stands && c.up != nil {
 			// The reader stops between two lines and tells; until then the actor goes on listening.
 			c.up.conn.SetReadDeadline(time.Unix(1, 0))
 			// Guards against a client that reads nothing: neither the reader nor this actor may hang in a
--- a/internal/line/front.go
+++ b/internal/line/front.go
@@ -184,13 +184,18 @@
 }
 
 func (f *Front) accept(ctx context.Context, conn *net.TCPConn) {
-	c := &channel{
+	c := f.channel(conn)
+	c.call = f.module.Accept(c, core.Traits{Descriptor: true})
+	f.actors.Go(func() { c.run(ctx) })
+}
+
+// channel makes the actor of a client's connection.
+func (f *Front) channel(conn *net.TCPConn) *channel {
+	return &channel{
 		front: f, client: conn, text: textproto.NewConn(conn),
 		orders: make(chan order, mailboxSize), news: make(chan any), done: make(chan struct{}),
 		relay: make(chan *upstream, 1), answered: make(chan struct{}),
 	}
-	c.call = f.module.Accept(c, core.Traits{Descriptor: true})
-	f.actors.Go(func() { c.run(ctx) })
 }
 
 // close ends a dial's connection, if there is one, and gives its descriptor back.
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/textproto"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -491,6 +492,48 @@
 }
 
 // A server that goes silent under a standing connection: its client is moved well within 7 s.
+// The module's order to move and the room server's own end cross each other. The client gets one end, and no second one.
+func TestMoveCrossesTheServersEnd(t *testing.T) {
+	b := newBalancer(t)
+	front := New(b.module, testNames, Budget{Descriptors: 300, DialSpare: 50}, logrus.New()) // it accepts nothing
+	for _, code := range []decide.Code{decide.OK, decide.Cancelled} {
+		ours, client := pair(t)
+		server, _ := pair(t)
+		c := front.channel(ours)
+		c.call = b.module.Accept(c, core.Traits{})
+		front.held <- struct{}{} // the dial's descriptor, which the end gives back
+		c.up = &upstream{conn: server, text: textproto.NewConn(server), cancel: func() {}}
+		c.stands = true
+		if !c.serverEnded(newsServerEnd{code, io.EOF}) {
+			t.Fatalf("code %v: the actor ended before its client did", code)
+		}
+		if !c.obey(context.Background(), order{kind: orderMove}) {
+			t.Fatalf("code %v: the late move ended the actor", code)
+		}
+		client.wantEnd()
+		if n := len(front.held); n != 0 {
+			t.Fatalf("code %v: %d descriptors are held after the end", code, n)
+		}
+	}
+}
+
+// pair makes a connection of two ends.
+func pair(t *testing.T) (*net.TCPConn, *client) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far := dial(t, l.Addr().String())
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); far.conn.Close() })
+	return near.(*net.TCPConn), far
+}
+
 func TestSilentServer(t *testing.T) {
 	t.Parallel()
 	b := newBalancer(t, newServer(t, "s-1", func(conn net.Conn, r *bufio.Reader) {
--- a/internal/standin/room.go
+++ b/internal/standin/room.go
@@ -66,6 +66,7 @@
 	draining bool
 	stopped  bool
 	setups   []time.Time // of the last second
+	fallen   bool        // one too many came while it was cold
 }
 
 // roomConn is one connection of a Room's.
@@ -306,11 +307,15 @@
 	}
 	s.mu.Lock()
 	full := s.draining || s.open >= s.cfg.Capacity
-	fell := !full && s.setup(time.Now())
+	lay := s.fallen
+	s.fallen = lay || !full && s.setup(time.Now())
+	fallen := s.fallen
 	s.mu.Unlock()
-	if fell {
-		s.cfg.Recorder.Add(rules.Event{Kind: rules.Fell, Server: s.cfg.Name})
-		go s.Stop()
+	if fallen {
+		if !lay { // it falls once, though more may have come before its listener is closed
+			s.cfg.Recorder.Add(rules.Event{Kind: rules.Fell, Server: s.cfg.Name})
+			go s.Stop()
+		}
 		return false
 	}
 	if full {
--- a/internal/standin/room_test.go
+++ b/internal/standin/room_test.go
@@ -70,6 +70,9 @@
 		for id := range 14 { // 0.3 * 10 * 4 is 12 within a second
 			opens(t, r, id)
 		}
+		if v.falls > 0 { // one that comes before the listener is closed, as the 14th may or may not
+			(&roomConn{room: r}).open("OPEN 00000000000000ff 7f3a9c21e0b4d655 c=solo-play,d=900")
+		}
 		r.Stop()
 		if broken := recorder.Report().Broken; len(broken) != v.falls {
 			t.Errorf("cold for %v: %v", v.cold, broken)
