--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -131,6 +131,20 @@
 	}
 }
 
+// startCold lists n servers that start now, from id on, and gives the connections that one of them bears within the
+// fall time, in the mean of its first seconds. Life is taken as usualLife: 26 connections are 26/30 of one a second.
+func (f *manyBalancers) startCold(id ServerID, n int, capacity float64) (bears float64) {
+	for end := id + ServerID(n); id < end; id++ {
+		f.list = append(f.list, Server{ID: id, Zone: "a", Started: f.now})
+		f.servers[id] = &fleetServer{capacity: capacity, groups: map[string]int{}}
+	}
+	for i := range f.balancers {
+		f.handle(i, ListReceived{Kind: ListFull, Servers: f.list})
+	}
+	rules := f.balancers[0].set.Rules
+	return rules.FallMultiple * rules.Fall.Seconds() * capacity / usualLife.Seconds() * (rules.ColdShare + 0.28)
+}
+
 func (f *manyBalancers) arrive(group string) {
 	f.next++
 	id := RequestID(name("f", f.next))
@@ -198,18 +212,10 @@
 func TestColdServerGetsTheSumOfManyParts(t *testing.T) {
 	for _, n := range []int{3, 30, 80, 300} {
 		set := fleetSettings()
-		list := servers(6, 0)
-		f := newFleet(t, set, n, list, 26)
+		f := newFleet(t, set, n, servers(6, 0), 26)
 		f.run(20*time.Second, 0.055, fleetGroups)
-		list = append(list, Server{ID: 50, Zone: "a", Started: f.now})
-		f.list, f.servers[50] = list, &fleetServer{capacity: 26, groups: map[string]int{}}
-		for i := range f.balancers {
-			f.handle(i, ListReceived{Kind: ListFull, Servers: list})
-		}
+		bears, rules := f.startCold(50, 1, 26), set.Rules
 		f.run(4*time.Second, 0.6, fleetGroups)
-		// Life is taken as usualLife, so 26 connections a server are 26/30 of a connection a second.
-		rules := set.Rules
-		bears := rules.FallMultiple * rules.Fall.Seconds() * 26 / usualLife.Seconds() * (rules.ColdShare + 0.28)
 		got := f.most(50, rules.Fall)
 		t.Logf("%d balancers: %d within %v, bears %.1f", n, got, rules.Fall, bears)
 		if float64(got) > bears+3 {
@@ -223,26 +229,16 @@
 func TestColdServersAreUsedByMany(t *testing.T) {
 	for _, c := range []struct{ n, old int }{{3, 6}, {80, 20}, {300, 45}} { // as many new as old ones
 		set := fleetSettings()
-		list := servers(c.old, 0)
-		f := newFleet(t, set, c.n, list, 26)
+		f := newFleet(t, set, c.n, servers(c.old, 0), 26)
 		var groups []string
 		for i := range c.old {
 			groups = append(groups, name("g", i))
 		}
 		f.run(20*time.Second, 0.008*float64(c.old), groups)
-		for id := ServerID(500); id < ServerID(500+c.old); id++ {
-			list = append(list, Server{ID: id, Zone: "a", Started: f.now})
-			f.servers[id] = &fleetServer{capacity: 26, groups: map[string]int{}}
-		}
-		f.list = list
-		for i := range f.balancers {
-			f.handle(i, ListReceived{Kind: ListFull, Servers: list})
-		}
+		bears, rules := f.startCold(500, c.old, 26), set.Rules
 		f.run(4*time.Second, 0.03*float64(c.old), groups)
-		rules := set.Rules
-		bears := rules.FallMultiple * rules.Fall.Seconds() * 26 / usualLife.Seconds() * (rules.ColdShare + 0.28)
 		all, most := 0, 0
-		for _, s := range list[c.old:] {
+		for _, s := range f.list[c.old:] {
 			all, most = all+len(f.sent[s.ID]), max(most, f.most(s.ID, rules.Fall))
 		}
 		part := float64(all) / (4 / rules.Fall.Seconds() * bears * float64(c.old))
