--- a/internal/line/resume_test.go
+++ b/internal/line/resume_test.go
@@ -525,10 +525,10 @@
 	s.rooms[0].Misbehave(standin.Faults{StallCommit: true})
 	c = s.present(s.balancers[0], tok)
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
-		if held, _ := s.rooms[1].Sessions(); held == 1 {
+		if s.rooms[0].StalledCommits() == 1 {
 			break
 		} else if time.Now().After(end) {
-			t.Fatal("the state did not come")
+			t.Fatal("the commit did not come")
 		}
 	}
 	s.rooms[0].Misbehave(standin.Faults{})
--- a/internal/standin/room.go
+++ b/internal/standin/room.go
@@ -66,7 +66,8 @@
 	draining bool
 	stopped  bool
 	setups   []time.Time // of the last second
-	fallen   bool        // one too many came while it was cold
+	stalled  atomic.Int64
+	fallen   bool // one too many came while it was cold
 }
 
 // roomConn is one connection of a Room's.
@@ -164,6 +165,10 @@
 	s.draining = false
 }
 
+// StalledCommits is how many COMMITs have come and were not answered by StallCommit: what is to happen while one waits for
+// its answer must not happen before it is there.
+func (s *Room) StalledCommits() int64 { return s.stalled.Load() }
+
 // Stop ends it at once, as a crash does.
 func (s *Room) Stop() {
 	s.l.Close()
@@ -539,6 +544,7 @@
 		return false
 	}
 	if f.StallCommit {
+		s.stalled.Add(1)
 		return true
 	}
 	s.mu.Lock()
