Hold nobody back for attempts that never ran; let a paused reader's last datagram be

Two tests ended differently from run to run.

A probe at each hold showed the adaptive throttle in 4024 of 4163 of them, before an empty room server that was neither left out, slow, cold nor full ("thr=true dials=5.6 stood=0.8 dialing=0 ... load=0.00 ej=false over=false"). A balancer that has just restarted counted what draining room servers turned away, and attempts still out, as failures, and let 0.4 attempts a second through. Ruled out by the same lines: ejection, the groups' memory, a full report, the window. At fault: charge() counted every dial, and throttled() compared it with those that stood.

TestSocketIsHandedOver: 5 of 60, 3 of 120 and 4 of 96 runs failed. A goroutine dump of one shows the old reader in its pause and a single flow: the old version had read the datagram. A reader that the deadline wakes finds a datagram if that comes before it runs again (the poller's "ready" wins over the deadline); it then serves it, as the flow is its own. Suspected first and ruled out: that UDPConn.File made the shared socket blocking (a duplicate without it failed 3 of 120).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -216,12 +216,11 @@
 // throttling: dials that are out or failed stay within a multiple of those that stood lately. A window on the
 // dials that are out, halved by time-outs and opened by set-ups: time-outs mean work done for nothing.
 func (b *Balancer) throttled() bool {
-	return b.dials-b.stood > throttleFree+b.stood || b.dialing >= int(b.window)
+	return b.wasted > throttleFree+b.stood || b.dialing >= int(b.window)
 }
 
 // charge books a placement against the server's answer and, while it is cold, its slow-start budget.
 func (b *Balancer) charge(r *request, s *server) {
-	b.dials++
 	s.uses++
 	if s.uses >= poolUses || len(b.waiting) > 0 { // others hold requests too and rush to the room shown
 		b.unpool(s)
@@ -442,6 +441,9 @@
 	}
 	if !r.stands {
 		b.dialing--
+		if !ev.Code.NeverRan() {
+			b.wasted++
+		}
 	}
 	r.out = false
 	if ev.Final {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -984,6 +984,29 @@
 	}
 }
 
+// Guards against a balancer that holds a whole crowd back for seconds before an empty server, because others turned it
+// away shortly before: what never ran cost nothing that all servers share. Attempts that may have run do hold it back.
+func TestTurnedAwayHoldsNobodyBack(t *testing.T) {
+	for _, c := range []struct {
+		code Code
+		held bool
+	}{{Full, false}, {ConnectFailed, false}, {TimedOut, true}, {Reset, true}} {
+		w := newWorld(t, settings())
+		w.full(servers(6, 0))
+		for i := range 8 {
+			id := name("r", i)
+			for _, p := range find[Place](w.ask(id, safe)) {
+				w.end(id, 0, p.Server, c.code, false)
+			}
+			w.send(ClientGone{ID: RequestID(id)})
+		}
+		w.full([]Server{{ID: 50, Zone: "a"}})
+		if out := len(find[Place](w.ask("late", safe))); (out == 0) != c.held {
+			t.Errorf("after eight that ended with %v, %d were placed at a server that just came", c.code, out)
+		}
+	}
+}
+
 func TestHomesWeighSizeAndMoveLittle(t *testing.T) {
 	w := newWorld(t, groups())
 	list := servers(10, 0)
--- a/decide/state.go
+++ b/decide/state.go
@@ -94,7 +94,7 @@
 	waiting             []*request // held: no server may take them now
 	memories            map[string]memory
 	memOrder            []string
-	dials, stood        float64       // recent attempts and those that stood, fading
+	wasted, stood       float64       // recent attempts that may have run and did not stand, and those that stood, fading
 	rate, rateSpan, new float64       // connections set up a second, over how many; those since the last tick
 	capacity            float64       // of a warm server: connections a second, this balancer's part
 	capSpan             float64       // seconds over which that is averaged
@@ -394,7 +394,7 @@
 	b.rateSpan = min(b.rateSpan+step, rateTime.Seconds())
 	b.rate += (b.new/step - b.rate) * step / b.rateSpan
 	fade := 1 - step/fadeTime.Seconds()
-	b.new, b.dials, b.stood = 0, b.dials*fade, b.stood*fade
+	b.new, b.wasted, b.stood = 0, b.wasted*fade, b.stood*fade
 	b.need *= 1 - step/needTime.Seconds()
 	b.learnCapacity()
 }
--- a/internal/handover/sockets.go
+++ b/internal/handover/sockets.go
@@ -140,7 +140,8 @@
 	return &Pause{deadline: deadline, resumed: make(chan struct{}, 1)}
 }
 
-// Hold stops the goroutine at its next call; a closed socket is stopped already.
+// Hold stops the goroutine at its next call; a closed socket is stopped already. The call under way may still bring what
+// comes just then, once.
 func (p *Pause) Hold() { _ = p.deadline(time.Unix(1, 0)) }
 
 // Resume lets it go on.
--- a/internal/quic/front_test.go
+++ b/internal/quic/front_test.go
@@ -39,8 +39,12 @@
 		cfg.Conn.Close()
 		cfg.Conn = shared.(*net.UDPConn)
 	}, s1.instance(decide.Ready), s2.instance(decide.Ready))
-	if answer, err := c.say("hello"); err != nil || answer != "s-1 hello" {
-		t.Fatalf("after the hand-over: %q, %v", answer, err)
+	// A read that is under way when the pause comes may still bring the old one a datagram: its reader is woken by the
+	// deadline, and finds one if that comes before it runs again. No second one.
+	for range 2 {
+		if answer, err := c.say("hello"); err != nil || answer != "s-1 hello" {
+			t.Fatalf("after the hand-over: %q, %v", answer, err)
+		}
 	}
 	eventually(t, "reopened", func() bool { return next.module.Snapshot().Reopened == 1 })
 	if s := next.module.Snapshot(); s.Served != 1 || s.Failed > 0 {
