Give a group half of a zone's servers at most, so that small zones keep groups apart

Seen: at Armor a zone has three room servers and a group three homes, so every group is at home everywhere there and each server pays for all of them; the dump of the Sfax incident shows 8 groups on some 60 pairs of group and server, which cost as much as all connections.

At fault: homes() gave three servers whatever the zone's size.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -60,7 +60,7 @@
 	poolTurn     = 4    // one steady probe in so many is the pool's where a balancer holds few connections
 	probeDebt    = 4    // probes ahead of the steady ones, for servers with slow messages
 	askCount     = 2    // servers of a zone that are asked for a request when none is known to have room
-	homeCount    = 3    // servers of a group in a zone
+	homeCount    = 3    // servers of a group in a zone, and half of these at most: where all are, none is kept apart
 	ejectPart    = 0.5  // part of the cache that may be ejected at once
 	coldSafety   = 0.5  // part of the slow-start budget that is used where each balancer has requests,
 	coldUse      = 8.0  // as one does that holds so many connections or more;
@@ -333,7 +333,7 @@
 	if !b.grouped(r) {
 		return nil
 	}
-	group := hash(r.Group)
+	group, most := hash(r.Group), min(homeCount, (len(list)+1)/2)
 	keys := make([]float64, 0, homeCount+1)
 	homes = make([]*server, 0, homeCount+1)
 	for _, s := range list { // one pass: this is most of what a grouped request costs
@@ -342,9 +342,9 @@
 		for i > 0 && key < keys[i-1] {
 			i--
 		}
-		if i < homeCount {
+		if i < most {
 			keys, homes = slices.Insert(keys, i, key), slices.Insert(homes, i, s)
-			n := min(len(keys), homeCount)
+			n := min(len(keys), most)
 			keys, homes = keys[:n], homes[:n]
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1315,6 +1315,17 @@
 	}
 }
 
+// Guards against small zones where every group is at home at each server, so that each pays for all of them.
+func TestGroupsAreKeptApartInSmallZones(t *testing.T) {
+	for n, want := range map[int]int{1: 1, 2: 1, 3: 2, 4: 2, 6: 3, 30: 3} {
+		w := newWorld(t, groups())
+		w.full(servers(n, 0))
+		if got := len(w.b.homes(&request{Requested: Requested{Group: "g"}}, w.b.local)); got != want {
+			t.Errorf("a group has %d servers of %d, want %d", got, n, want)
+		}
+	}
+}
+
 // Guards against a group's first server that many balancers fill up between two reports, as each books its own placements
 // only: the more of them share a zone, the sooner the next server is taken.
 func TestRoomIsLessWhereOthersPlaceUnseen(t *testing.T) {
