Refuse at once what cannot be placed in its time, with when to come back

Seen in the Sfax incident: 54 to 95 requests wait at each balancer while 4 a second come to stand; all are held for 3.2 s, given up by their clients, and back a moment later (31 to 51 % gave up in every 5 s).

At fault: place() held whatever found no room until its deadline. Now a request is refused at once when more wait before it than come to stand, at the pace of the last 10 s, before its time is up (four may always wait); while others wait the refusal asks to stay away for half of the longest time that clients honour, up to all of it.

It changes what clients see, not what is served.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -69,6 +69,7 @@
 	setupSlack   = 2    // a dial waits for this multiple of the usual set-up time at least,
 	setupMemory  = 8    // which is averaged over so many
 	coldLeast    = 0.2  // connections that all together may send a cold server before they know more
+	waitFree     = 4    // requests that may wait for room in any case
 	throttleFree = 4.0  // dials that may be out or have failed beyond as many as stood
 )
 
@@ -187,11 +188,12 @@
 		return
 	}
 	var s *server
-	if !b.throttled() && b.now >= r.held {
+	tries := !b.throttled() && b.now >= r.held
+	if tries {
 		s = b.pick(r)
 	}
 	if s == nil {
-		if r.ran != nil && b.classOf(r).Repeat != Safe {
+		if r.ran != nil && b.classOf(r).Repeat != Safe || tries && b.hopeless(r) {
 			b.answer(r)
 			return
 		}
@@ -213,6 +215,13 @@
 	b.do(Place{ID: r.ID, Server: s.ID, Wait: wait})
 }
 
+// hopeless tells that more wait before r than connections stand, at the pace of late, before its time is up. It is then
+// refused at once: guards against a crowd that all waits in vain, and comes back to wait again.
+func (b *Balancer) hopeless(r *request) bool {
+	pace := b.stood / fadeTime.Seconds() // a second
+	return float64(len(b.waiting)) > max(waitFree, pace*(r.deadline-b.now).Seconds())
+}
+
 // throttled guards what all servers share (a session store) against retry storms, in two ways. Adaptive
 // throttling: dials that are out or failed stay within a multiple of those that stood lately. A window on the
 // dials that are out, halved by time-outs and opened by set-ups: time-outs mean work done for nothing.
@@ -351,12 +360,6 @@
 	return homes
 }
 
-// distance is how far a server is from being a group's first; equal at all balancers.
-func distance(group uint64, s *server) float64 {
-	u := (float64(mix(group, uint64(s.ID))>>11) + 0.5) / (1 << 53)
-	return -math.Log(u) / cmp.Or(s.Weight, 1)
-}
-
 // ask probes, ahead of the steady probes, the servers that a request depends on: its group's, or a few in
 // cache order when no answer in the pool shows room. The request waits a moment for the answers. Where the
 // group's first server showed room of late, that is enough.
@@ -508,7 +511,11 @@
 func (b *Balancer) answer(r *request) {
 	c := b.classOf(r)
 	if c.Repeat == Safe || r.ran == nil && !r.out || c.Repeat == Keyed && c.Scope == ScopeAll {
-		b.do(Refuse{ID: r.ID, RetryAfter: min(refuseRest+b.jitter(refuseRest), b.set.MaxRetryAfter)})
+		rest := refuseRest
+		if len(b.waiting) > waitFree { // longer while others wait, so that they are served first
+			rest = max(rest, b.set.MaxRetryAfter/2)
+		}
+		b.do(Refuse{ID: r.ID, RetryAfter: min(rest+b.jitter(rest), b.set.MaxRetryAfter)})
 	} else {
 		b.do(Fail{ID: r.ID})
 	}
@@ -615,11 +622,9 @@
 func (b *Balancer) farthest(s *server) []*request {
 	conns := slices.Clone(s.conns)
 	b.rng.Shuffle(len(conns), func(i, j int) { conns[i], conns[j] = conns[j], conns[i] })
-	if b.set.Groups {
-		slices.SortStableFunc(conns, func(x, y *request) int {
-			return cmp.Compare(distance(hash(y.Group), s), distance(hash(x.Group), s))
-		})
-	}
+	slices.SortStableFunc(conns, func(x, y *request) int {
+		return cmp.Compare(distance(hash(y.Group), s), distance(hash(x.Group), s))
+	})
 	return conns
 }
 
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -20,6 +20,8 @@
 	probes     int
 	idleProbes int // at servers where the asker holds nothing
 	refused    int
+	came       map[RequestID]time.Duration
+	held       []time.Duration // refused requests, until then
 	next       int
 	groups     map[RequestID]string
 }
@@ -45,7 +47,7 @@
 // newFleet makes n balancers in zone a of settings of their own, and lets them take the list.
 func newFleet(t *testing.T, set Settings, n int, list []Server, capacity float64) *manyBalancers {
 	f := &manyBalancers{now: 1000 * time.Second, rng: rand.New(rand.NewPCG(1, 2)), due: make([][]dueEvent, n), list: list,
-		servers: map[ServerID]*fleetServer{}, sent: map[ServerID][]time.Duration{}, groups: map[RequestID]string{}}
+		servers: map[ServerID]*fleetServer{}, sent: map[ServerID][]time.Duration{}, groups: map[RequestID]string{}, came: map[RequestID]time.Duration{}}
 	for _, s := range list {
 		f.servers[s.ID] = &fleetServer{capacity: capacity, groups: map[string]int{}}
 	}
@@ -103,6 +105,7 @@
 			f.due[i] = append(f.due[i], dueEvent{f.now + fleetStep, Established{ID: a.ID, Server: a.Server, Took: fleetStep}})
 		case Refuse:
 			f.refused++
+			f.held = append(f.held, f.now-f.came[a.ID])
 		}
 	}
 }
@@ -148,7 +151,7 @@
 func (f *manyBalancers) arrive(group string) {
 	f.next++
 	id := RequestID(name("f", f.next))
-	f.groups[id] = group
+	f.groups[id], f.came[id] = group, f.now
 	f.handle(f.rng.IntN(len(f.balancers)), Requested{ID: id, Key: string(id), Group: group, Remaining: 2 * time.Second, Returning: true})
 }
 
@@ -208,6 +211,22 @@
 	}
 }
 
+// Guards against a fleet that holds a crowd until its time is up though it cannot serve it, and has it back the next moment.
+func TestCrowdBeyondTheRoomIsRefusedAtOnce(t *testing.T) {
+	f := newFleet(t, fleetSettings(), 3, servers(9, 0), 26)
+	f.run(10*time.Second, 0.1, fleetGroups)
+	f.run(6*time.Second, 1, fleetGroups) // several times the room
+	atOnce := 0
+	for _, d := range f.held {
+		if d <= 2*askWait {
+			atOnce++
+		}
+	}
+	if len(f.held) < 200 || atOnce < len(f.held)*8/10 {
+		t.Errorf("%d of %d refused requests were answered at once, 8 in 10 wanted", atOnce, len(f.held))
+	}
+}
+
 // Guards against a cold server that many balancers fall upon, each within what it takes for its part.
 func TestColdServerGetsTheSumOfManyParts(t *testing.T) {
 	for _, n := range []int{3, 30, 80, 300} {
--- a/decide/state.go
+++ b/decide/state.go
@@ -425,6 +425,12 @@
 	}
 }
 
+// distance is how far a server is from being a group's first; equal at all balancers.
+func distance(group uint64, s *server) float64 {
+	u := (float64(mix(group, uint64(s.ID))>>11) + 0.5) / (1 << 53)
+	return -math.Log(u) / cmp.Or(s.Weight, 1)
+}
+
 // hash and mix are equal on every machine.
 
 func hash(s string) uint64 {
