--- a/decide/decide.go
+++ b/decide/decide.go
@@ -60,7 +60,7 @@
 	poolTurn     = 4    // one steady probe in so many is the pool's where a balancer holds few connections
 	probeDebt    = 4    // probes ahead of the steady ones, for servers with slow messages
 	askCount     = 2    // servers of a zone that are asked for a request when none is known to have room
-	homeCount    = 3    // servers of a group in a zone, and half of these at most: where all are, none is kept apart
+	homeCount    = 3    // servers of a group in a zone, and no more than half of these, to keep groups apart
 	ejectPart    = 0.5  // part of the cache that may be ejected at once
 	coldSafety   = 0.5  // part of the slow-start budget that is used where each balancer has requests,
 	coldUse      = 8.0  // as one does that holds so many connections or more;
@@ -215,8 +215,8 @@
 	b.do(Place{ID: r.ID, Server: s.ID, Wait: wait})
 }
 
-// hopeless tells that more wait before r than connections stand, at the pace of late, before its time is up. It is then
-// refused at once: guards against a crowd that all waits in vain, and comes back to wait again.
+// hopeless tells that more wait before r than come to stand, at the pace of late, before its time is up. It
+// is refused at once then: guards against a crowd that all waits in vain, and comes back to wait again.
 func (b *Balancer) hopeless(r *request) bool {
 	pace := b.stood / fadeTime.Seconds() // a second
 	return float64(len(b.waiting)) > max(waitFree, pace*(r.deadline-b.now).Seconds())
@@ -370,7 +370,8 @@
 	homes, far := b.ranked(r)
 	for i, targets := range [2][]*server{homes, far} {
 		list := [2][]*server{b.local, b.remote}[i]
-		settled := i == 0 && len(targets) > 0 && targets[0].load < b.roomy && b.now-targets[0].at < b.askAfter()
+		settled := i == 0 && len(targets) > 0 && targets[0].load < b.roomy &&
+			b.now-targets[0].at < b.askAfter()
 		if !b.set.MayProbe || settled || i > 0 && !b.spilling() && !b.grouped(r) {
 			return
 		}
@@ -617,8 +618,8 @@
 	}
 }
 
-// farthest orders a server's connections for moving: those of groups that are least at home there first, by chance
-// within one. All balancers then move the same groups, and the server stops paying for these.
+// farthest orders a server's connections for moving: those of groups that are least at home there first, by
+// chance within one. All balancers then move the same groups, and the server stops paying for these.
 func (b *Balancer) farthest(s *server) []*request {
 	conns := slices.Clone(s.conns)
 	b.rng.Shuffle(len(conns), func(i, j int) { conns[i], conns[j] = conns[j], conns[i] })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,8 +31,15 @@
 	leastShare      = 24 // descriptors for channels and dials that a process has in any case
 	manageSockets   = 24 // kept for the management address, where one is named
 	longestDeadline = 3 * time.Second
-	killAfter       = 700 * time.Millisecond // SIGKILL comes so long after the longest deadline
-	exitSpare       = 300 * time.Millisecond // kept of that for the exit itself
+
+	// Past these a figure is a slip of the pen or the unit, and would act: a poll's period grows with the balancers, say.
+	mostBalancers = 10_000
+	mostSeconds   = 86_400.0
+	mostTries     = 100
+	mostMultiple  = 1000.0
+
+	killAfter = 700 * time.Millisecond // SIGKILL comes so long after the longest deadline
+	exitSpare = 300 * time.Millisecond // kept of that for the exit itself
 )
 
 // Config is what the program uses.
@@ -287,6 +294,19 @@
 var scopes = map[string]decide.KeyScope{"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone,
 	"cell": decide.ScopeCell}
 
+// figure is a setting with its largest sensible value.
+type figure struct {
+	key     string
+	v, most float64
+}
+
+func (f figure) check() error {
+	if f.v >= 0 && f.v <= f.most {
+		return nil
+	}
+	return fmt.Errorf("%s: %v is not from 0 to %v", f.key, f.v, f.most)
+}
+
 func (s *settings) decode() (out decide.Settings, err error) {
 	if s.Zone == "" {
 		return out, errors.New("zone: is missing")
@@ -301,6 +321,16 @@
 		return out, errors.New("profiles: is empty")
 	}
 	l, r, p := s.Limits, s.Rules, s.Penalties
+	for _, f := range []figure{{"balancers", float64(s.Balancers), mostBalancers}, {"limits.connect_timeout_s", l.ConnectTimeout, mostSeconds},
+		{"limits.max_retry_after_s", l.MaxRetryAfter, mostSeconds}, {"limits.most_tries", float64(l.MostTries), mostTries},
+		{"rules.must_ask_in_s", r.MustAsk, mostSeconds}, {"rules.drain_grace_s", r.DrainGrace, mostSeconds},
+		{"rules.cold_share", r.ColdShare, 1}, {"rules.cold_s", r.Cold, mostSeconds}, {"rules.fall_multiple", r.FallMultiple, mostMultiple},
+		{"rules.fall_s", r.Fall, mostSeconds}, {"penalties.probe", p.Probe, 1}, {"penalties.moves", p.Moves, 1},
+		{"penalties.cross_zone", p.CrossZone, 1}} {
+		if err := f.check(); err != nil {
+			return out, err
+		}
+	}
 	out = decide.Settings{
 		Zone: s.Zone, Zones: s.Areas, Balancers: s.Balancers, Subscribe: s.Mode == "subscribe",
 		MaxTries: l.MostTries, ConnectTimeout: seconds(l.ConnectTimeout), MayProbe: l.MayProbe,
@@ -327,12 +357,20 @@
 		if !(c.Aim > 0) {
 			return out, fmt.Errorf("profiles[%d].aim_s: %v is not above 0", i, c.Aim)
 		}
+		for _, f := range []figure{{"aim_s", c.Aim, mostSeconds}, {"give_up_s", c.GiveUp, mostSeconds}, {"window_s", c.Window, mostSeconds}} {
+			if err := f.check(); err != nil {
+				return out, fmt.Errorf("profiles[%d].%w", i, err)
+			}
+		}
 		class := decide.Class{Name: c.Name, Aim: seconds(c.Aim), GiveUp: seconds(c.GiveUp), Repeat: repeat,
 			Window: seconds(c.Window)}
 		if repeat == decide.Keyed {
 			class.Scope = scope
 		}
 		if i < len(s.Specifics.MessageAim) {
+			if err := (figure{"message_aim_s", s.Specifics.MessageAim[i], mostSeconds}).check(); err != nil {
+				return out, fmt.Errorf("specifics.%w", err)
+			}
 			class.MessageAim = seconds(s.Specifics.MessageAim[i])
 		}
 		out.Classes = append(out.Classes, class)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -116,6 +116,14 @@
 		{`"aim_s":0.3`, `"aim_s":0`, "settings.profiles[0].aim_s: 0"},
 		{`"idempotent"`, `"maybe"`, `settings.profiles[0].repeat: unknown value "maybe"`},
 		{`"fall_s":1`, `"fall_s":"x"`, "settings.rules.fall_s"},
+		{`"fall_s":1`, `"fall_s":-1`, "settings.rules.fall_s: -1 is not from 0"},
+		{`"fall_s":1`, `"fall_s":1e300`, "settings.rules.fall_s: 1e+300"},
+		{`"fall_s":1`, `"cold_share":1.5`, "settings.rules.cold_share: 1.5 is not from 0 to 1"},
+		{`"balancers":3`, `"balancers":-3`, "settings.balancers: -3"},
+		{`"balancers":3`, `"balancers":1000000000`, "settings.balancers: 1e+09"},
+		{`"balancers":3`, `"balancers":2.5`, "settings.balancers"},
+		{`"aim_s":0.3`, `"aim_s":1e9`, "settings.profiles[0].aim_s: 1e+09"},
+		{`"give_up_s":1.2`, `"give_up_s":-2`, "settings.profiles[0].give_up_s: -2"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, v.old, v.new, 1)), noEnv)
 		if err == nil || !strings.Contains(err.Error(), v.want) {
@@ -124,6 +132,19 @@
 	}
 }
 
+// How many balancers there are may be left out, or be 0: each then goes by itself.
+func TestBalancersMayBeUnknown(t *testing.T) {
+	for _, v := range []string{`"balancers":0,`, ``} {
+		c, err := Parse([]byte(strings.Replace(good, `"balancers":3,`, v, 1)), noEnv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := decide.New(c.Settings); err != nil || c.Settings.Balancers != 0 {
+			t.Errorf("%q: %d balancers, %v", v, c.Settings.Balancers, err)
+		}
+	}
+}
+
 const goodFronts = `{"quic":{"listen":"127.0.0.1:4433","class":"solo-play","config_id":0,"nonce_length":8,
 "id_key":"8f95f09245765f80256934e50c66207f","reset_key":"000102030405060708090a0b0c0d0e0f"},
 "snmp":{"listen":"127.0.0.1:1161","community":"x"},"resume":{"keys":"k.json","site":"armor","max_moves":7},"rooms":{"file":"r.json"}}`
