Count for a refusal only those that wait before a request; add tools/regression

The first count took all that wait, so that in every round of tries the longest-held requests, whose time is short, were refused first and those behind them kept. Now a request is given up by how many of this round were held again before it, or by all where it comes anew.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -60,7 +60,7 @@
 	poolTurn     = 4    // one steady probe in so many is the pool's where a balancer holds few connections
 	probeDebt    = 4    // probes ahead of the steady ones, for servers with slow messages
 	askCount     = 2    // servers of a zone that are asked for a request when none is known to have room
-	homeCount    = 3    // servers of a group in a zone, and no more than half of these, to keep groups apart
+	homeCount    = 3    // servers of a group in a zone, and no more than half of the zone's
 	ejectPart    = 0.5  // part of the cache that may be ejected at once
 	coldSafety   = 0.5  // part of the slow-start budget that is used where each balancer has requests,
 	coldUse      = 8.0  // as one does that holds so many connections or more;
@@ -70,7 +70,7 @@
 	setupMemory  = 8    // which is averaged over so many
 	coldLeast    = 0.2  // connections that all together may send a cold server before they know more
 	waitFree     = 4    // requests that may wait for room in any case
-	throttleFree = 4.0  // dials that may be out or have failed beyond as many as stood
+	throttleFree = 4.0  // attempts that may have run in vain beyond as many as stood
 )
 
 // ---- discovery: poll, cache, bootstrap
@@ -178,11 +178,11 @@
 	b.need++
 	b.do(SetTimer{Token: r.seq, Wait: ev.Remaining})
 	b.ask(r)
-	b.place(r)
+	b.place(r, len(b.waiting))
 }
 
-// place makes the next attempt for r, holds it, or answers it.
-func (b *Balancer) place(r *request) {
+// place makes the next attempt for r, before which so many wait, holds it, or answers it.
+func (b *Balancer) place(r *request, before int) {
 	if r.tries >= b.set.MaxTries || b.now >= r.deadline {
 		b.answer(r)
 		return
@@ -193,7 +193,7 @@
 		s = b.pick(r)
 	}
 	if s == nil {
-		if r.ran != nil && b.classOf(r).Repeat != Safe || tries && b.hopeless(r) {
+		if r.ran != nil && b.classOf(r).Repeat != Safe || tries && b.hopeless(r, before) {
 			b.answer(r)
 			return
 		}
@@ -217,13 +217,13 @@
 
 // hopeless tells that more wait before r than come to stand, at the pace of late, before its time is up. It
 // is refused at once then: guards against a crowd that all waits in vain, and comes back to wait again.
-func (b *Balancer) hopeless(r *request) bool {
+func (b *Balancer) hopeless(r *request, before int) bool {
 	pace := b.stood / fadeTime.Seconds() // a second
-	return float64(len(b.waiting)) > max(waitFree, pace*(r.deadline-b.now).Seconds())
+	return float64(before) > max(waitFree, pace*(r.deadline-b.now).Seconds())
 }
 
 // throttled guards what all servers share (a session store) against retry storms, in two ways. Adaptive
-// throttling: dials that are out or failed stay within a multiple of those that stood lately. A window on the
+// throttling: attempts that may have run in vain stay within as many as stood, and a few. A window on the
 // dials that are out, halved by time-outs and opened by set-ups: time-outs mean work done for nothing.
 func (b *Balancer) throttled() bool {
 	return b.wasted > throttleFree+b.stood || b.dialing >= int(b.window)
@@ -473,7 +473,7 @@
 		b.answer(r) // only safe requests move on after a time-out
 		return
 	}
-	b.place(r)
+	b.place(r, len(b.waiting))
 }
 
 // judge is the outlier ejection: a server that fails fast, hangs or breaks connections is left out a while.
@@ -592,10 +592,10 @@
 
 // retryWaiting tries the held requests again.
 func (b *Balancer) retryWaiting() {
-	for range len(b.waiting) {
+	for left := len(b.waiting) - 1; left >= 0; left-- {
 		r := b.waiting[0]
 		b.waiting = b.waiting[1:]
-		b.place(r)
+		b.place(r, len(b.waiting)-left) // those that were held again
 	}
 }
 
