--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1315,6 +1315,29 @@
 	}
 }
 
+// Guards against refusing the longest-held first, as their time is short, and holding those that came after them: a
+// request is given up by what waits before it.
+func TestThoseThatCameLastAreGivenUpFirst(t *testing.T) {
+	const held = 15
+	w := newWorld(t, settings())
+	w.full(servers(1, 0))
+	w.report(1, 0.95)
+	w.b.stood = 100 // ten a second
+	for i := range held {
+		if n := len(find[Refuse](w.ask(name("r", i), safe))); n != 0 {
+			t.Fatalf("request %d of %d was refused, though 20 come to stand in its time", i, held)
+		}
+	}
+	w.now += 1250 * time.Millisecond
+	refused := map[RequestID]bool{}
+	for _, r := range find[Refuse](w.tick(tick)) {
+		refused[r.ID] = true
+	}
+	if len(refused) == 0 || refused["r0"] || !refused[RequestID(name("r", held-1))] {
+		t.Errorf("half a second before their end, with five still to come to stand, refused are %v", refused)
+	}
+}
+
 // Guards against small zones where every group is at home at each server, so that each pays for all of them.
 func TestGroupsAreKeptApartInSmallZones(t *testing.T) {
 	for n, want := range map[int]int{1: 1, 2: 1, 3: 2, 4: 2, 6: 3, 30: 3} {
