Keep a door to answer at the bound on descriptors, and bound the connections kept for probes

Need: no test had 90 room servers and 128 descriptors.

Channels that stand used the budget to its end (28 of them and their dials are the 56 that accepting leaves), so roomToAccept waited and later clients lay in the backlog, where they count as taken. Probers kept one connection for each room server that was ever probed: 82 of 128 descriptors, where 40 were spare. The checker took a client that left after its time as one that left by itself; such a request is lost now, and players give up half a second late.

TestFewProbeConnectionsAreKept fails without the bound, 'left too late' in TestFinds without the checker's change.

Bad input to what scales: an empty list, one ten times as long, answers of discovery cut off at three places, spoilt answers and reports of room servers, a load of 101 or 1e300 and 1e9 connections in a report (one such report moved all connections off its server), 1e9 balancers in the module.

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -73,10 +73,10 @@
 		fmt.Fprintf(out, "rooms: %d room servers from %s, in place of discovery\n", len(rooms.Rooms), fronts.Rooms)
 	}
 	_, err = fmt.Fprintf(out, `%s: %d classes, %d known room servers, management %q, quic %q, snmp %q
-descriptors: %d for channels and dials, %d of them for dials alone; %d requests and connections at once
+descriptors: %d for channels and dials, %d of them for dials alone; %d requests and connections at once; %d for probes
 SIGHUP takes over: discovery, from the file before PROXY_DISCOVERY, the keys of tokens and the list of room servers; every other key takes a restart
 `, cfg.Name, len(cfg.Settings.Classes), len(cfg.Known), cfg.Management, fronts.QUIC.Listen, fronts.SNMP.Listen,
-		cfg.Descriptors, cfg.DialSpare, cfg.MaxChannels)
+		cfg.Descriptors, cfg.DialSpare, cfg.MaxChannels, cfg.Probes)
 	return err
 }
 
@@ -166,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	prober := line.NewProber(ctx, module)
+	prober := line.NewProber(ctx, module, cfg.Probes)
 	var list source = resolver.New(cfg.Discovery, cfg.Generation, module, log)
 	var rooms *roomfile.Source
 	if fronts.Rooms != "" {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,6 +48,7 @@
 	hiddenLoad = 0.1  // less for room, and half of it for full, as others place what no report shows yet
 	moveLoad   = 0.95 // above this, or moveTarget when its messages are slow, it loses connections,
 	moveTarget = 0.75 // until it is down to this
+	mostLoad   = 100  // a report of more is spoilt: by it all would be moved off, or booked too dear
 )
 
 // Counts and parts.
@@ -533,7 +534,7 @@
 		return
 	}
 	b.sign()
-	if ev.Report.Load < 0 {
+	if !(ev.Report.Load >= 0 && ev.Report.Load <= mostLoad) {
 		return
 	}
 	s.load, s.at, s.uses = ev.Report.Load+s.unseen(b.now), b.now, 0
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"math"
 	"reflect"
 	"slices"
 	"strings"
@@ -1114,6 +1115,7 @@
 		"Classes":              func(s *Settings) { s.Classes = nil },
 		"Zone":                 func(s *Settings) { s.Zone = "elsewhere" },
 		"Balancers":            func(s *Settings) { s.Balancers = -1 },
+		"Balancers is 1000000": func(s *Settings) { s.Balancers = 1e9 },
 		"MaxTries":             func(s *Settings) { s.MaxTries = -1 },
 		"Classes[1]: Aim":      func(s *Settings) { s.Classes[1].Aim = 0 },
 		"Classes[0]: Repeat":   func(s *Settings) { s.Classes[0].Repeat = 9 },
@@ -1438,3 +1440,73 @@
 		t.Errorf("nonsense was taken over: %+v", s)
 	}
 }
+
+// Guards against a discovery that comes back empty: all is gone then, so nothing is sent, each request has its one answer
+// in its time, and what stands is neither moved nor forgotten. The list that comes next is used at once.
+func TestEmptyList(t *testing.T) {
+	w := newWorld(t, settings())
+	w.full(servers(3, 0))
+	held := w.stand("s", safe)
+	w.full(nil)
+	for i := range 10 {
+		w.none(w.ask(name("x", i), safe), "no server is left")
+	}
+	acts := w.tick(time.Second)
+	if len(find[Move](acts)) > 0 {
+		t.Errorf("moved: %v", acts)
+	}
+	for _, r := range w.b.requests {
+		if !r.stands {
+			acts = append(acts, w.send(TimerFired{Token: r.seq})...)
+		}
+	}
+	if refused, failed := answers(acts); refused+failed > 10 || failed > 0 || len(w.b.requests) != 1 {
+		t.Errorf("%d refused, %d failed, %d left of 10", refused, failed, len(w.b.requests))
+	}
+	w.ask("y", safe)
+	if s := w.placed(w.full(servers(3, 0))); s > 3 {
+		t.Errorf("placed at %d", s)
+	}
+	if w.end("s", 0, held, OK, true); len(w.b.requests) != 1 {
+		t.Errorf("%d requests left, only y wanted", len(w.b.requests))
+	}
+}
+
+// A list ten times as long costs no more probes, and groups that had a home among the old servers keep to few.
+func TestListTenTimesAsLong(t *testing.T) {
+	set := settings()
+	set.MayProbe = true
+	probes := func(n int) int {
+		w := newWorld(t, set)
+		w.full(servers(9, 0))
+		w.tick(5 * time.Second)
+		w.full(servers(n, 0))
+		return len(find[Probe](w.tick(20 * time.Second)))
+	}
+	if few, many := probes(9), probes(90); many > few+2*poolSize {
+		t.Errorf("%d probes in 20 s at 90 servers, %d at 9", many, few)
+	}
+}
+
+// Guards against one spoilt report that moves all connections off its server, makes each placement look too dear, or
+// makes it look free.
+func TestSpoiltReports(t *testing.T) {
+	for _, load := range []float64{-3, 101, 1e300, math.Inf(1), math.NaN()} {
+		w := newWorld(t, settings())
+		w.full(servers(2, 0))
+		w.report(1, 0.5)
+		s := w.b.servers[1]
+		w.send(Probed{Server: 1, Code: OK, Report: Report{Load: load, Held: 4}})
+		if s.load != 0.5 || s.reported != 0.5 || s.each != 0 {
+			t.Errorf("a load of %v is taken: %+v", load, s)
+		}
+	}
+	for _, held := range []float64{-7, 1e9, math.Inf(1), math.NaN()} {
+		w := newWorld(t, settings())
+		w.full(servers(2, 0))
+		w.send(Probed{Server: 1, Code: OK, Report: Report{Load: 0.5, Held: held}})
+		if s := w.b.servers[1]; s.each != 0 || s.load != 0.5 {
+			t.Errorf("%v connections are taken: %+v", held, s)
+		}
+	}
+}
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -6,6 +6,9 @@
 	"slices"
 )
 
+// MostBalancers is how many may be told: past it the figure is a slip of the pen, and would make the poll's period days.
+const MostBalancers = 10_000
+
 // validate names the first setting that makes no sense.
 func (s *Settings) validate() error {
 	if len(s.Classes) == 0 {
@@ -14,8 +17,8 @@
 	if len(s.Zones) > 0 && !slices.Contains(s.Zones, s.Zone) {
 		return fmt.Errorf("settings: Zone %q is not in Zones", s.Zone)
 	}
-	if s.Balancers < 0 {
-		return fmt.Errorf("settings: Balancers is %d, below 0", s.Balancers)
+	if s.Balancers < 0 || s.Balancers > MostBalancers {
+		return fmt.Errorf("settings: Balancers is %d, not from 0 to %d", s.Balancers, MostBalancers)
 	}
 	if s.MaxTries < 0 {
 		return fmt.Errorf("settings: MaxTries is %d, below 0", s.MaxTries)
--- a/decide/state.go
+++ b/decide/state.go
@@ -183,10 +183,13 @@
 // shareLeast is how many connections a report must show to tell the load of one.
 const shareLeast = 4
 
+// shareMost is how many it may show; more is spoilt, as no process has so many descriptors.
+const shareMost = 1 << 20
+
 // shows keeps what a report tells: the load, and what one connection loads the server with.
 func (s *server) shows(r Report) {
 	s.reported = r.Load
-	if r.Held >= shareLeast {
+	if r.Held >= shareLeast && r.Held <= shareMost {
 		s.each = r.Load / r.Held
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,18 +25,22 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	memoryPart      = 0.7 // of the limit is the Go runtime's, the rest is what it does not count
-	spareSockets    = 40  // descriptors kept for probes, lists, listeners and the runtime
+	spareSockets    = 16  // descriptors kept for lists, listeners, the log and the runtime
+	probeLeast      = 24  // connections for probes that a process may keep, at least;
+	probePart       = 8   // one part in so many of the limit where that is more,
+	probeMost       = 128 // and no more than this
 	dialPart        = 8   // one part in so many of the others is kept for dials: no channel is accepted with it
+	doorPart        = 32  // one in so many, and doorLeast at least, is for channels that are answered and do not stand:
+	doorLeast       = 4   // with none of it what comes at the bound would lie unanswered in the listener's backlog
 	leastSockets    = 128
 	leastShare      = 24 // descriptors for channels and dials that a process has in any case
 	manageSockets   = 24 // kept for the management address, where one is named
 	longestDeadline = 3 * time.Second
 
-	// Past these a figure is a slip of the pen or the unit, and would act: a poll's period grows with the balancers, say.
-	mostBalancers = 10_000
-	mostSeconds   = 86_400.0
-	mostTries     = 100
-	mostMultiple  = 1000.0
+	// Past these a figure is a slip of the pen or the unit, and would act.
+	mostSeconds  = 86_400.0
+	mostTries    = 100
+	mostMultiple = 1000.0
 
 	killAfter = 700 * time.Millisecond // SIGKILL comes so long after the longest deadline
 	exitSpare = 300 * time.Millisecond // kept of that for the exit itself
@@ -57,6 +61,7 @@
 	Sockets     int
 	Descriptors int           // that channels and their dials may hold,
 	DialSpare   int           // of which channels leave so many to dials
+	Probes      int           // connections for probes that may be kept
 	Callers     int           // that may be connected to the management address
 	MaxChannels int           // requests that may wait and connections that may stand
 	StopBudget  time.Duration // from SIGTERM to the end
@@ -240,13 +245,19 @@
 
 // share makes one budget of the descriptors, less those that flows hold, one each.
 func (c *Config) share(flows int) {
-	c.Descriptors = c.Sockets - spareSockets - flows
+	c.Probes = min(max(probeLeast, c.Sockets/probePart), probeMost)
+	c.Descriptors = c.Sockets - spareSockets - c.Probes - flows
 	if c.Management != "" {
 		c.Callers = manageSockets - 2 // its listener, and the caller that is let in before another is put out
 		c.Descriptors -= manageSockets
 	}
 	c.DialSpare = c.Descriptors / dialPart
-	c.MaxChannels = (c.Descriptors - c.DialSpare) / 2
+	c.MaxChannels = mostChannels(c.Descriptors)
+}
+
+// mostChannels is how many may stand or wait, each with a dial, so that a door is left for those that come beyond it.
+func mostChannels(descriptors int) int {
+	return (descriptors - descriptors/dialPart - max(doorLeast, descriptors/doorPart)) / 2
 }
 
 // Share is what a process may hold of the limits while others serve beside it.
@@ -262,7 +273,7 @@
 	if two {
 		// Each has its own spare ones, so that its part of the others is less than half.
 		left := max(c.Descriptors-c.Sockets/2, leastShare)
-		s.Reserved, s.MaxChannels, s.Memory = c.Descriptors-left, (left-left/dialPart)/2, s.Memory/2
+		s.Reserved, s.MaxChannels, s.Memory = c.Descriptors-left, mostChannels(left), s.Memory/2
 	}
 	return s
 }
@@ -272,7 +283,7 @@
 	if f.QUIC.Listen == "" {
 		return nil
 	}
-	if most := (c.Sockets - spareSockets) / 2; f.QUIC.MaxFlows > most {
+	if most := (c.Sockets - spareSockets - c.Probes) / 2; f.QUIC.MaxFlows > most {
 		return fmt.Errorf("quic.max_flows: %d is more than half of what limits.sockets %d leaves, %d", f.QUIC.MaxFlows,
 			c.Sockets, most)
 	}
@@ -321,7 +332,7 @@
 		return out, errors.New("profiles: is empty")
 	}
 	l, r, p := s.Limits, s.Rules, s.Penalties
-	for _, f := range []figure{{"balancers", float64(s.Balancers), mostBalancers}, {"limits.connect_timeout_s", l.ConnectTimeout, mostSeconds},
+	for _, f := range []figure{{"balancers", float64(s.Balancers), decide.MostBalancers}, {"limits.connect_timeout_s", l.ConnectTimeout, mostSeconds},
 		{"limits.max_retry_after_s", l.MaxRetryAfter, mostSeconds}, {"limits.most_tries", float64(l.MostTries), mostTries},
 		{"rules.must_ask_in_s", r.MustAsk, mostSeconds}, {"rules.drain_grace_s", r.DrainGrace, mostSeconds},
 		{"rules.cold_share", r.ColdShare, 1}, {"rules.cold_s", r.Cold, mostSeconds}, {"rules.fall_multiple", r.FallMultiple, mostMultiple},
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -72,12 +72,12 @@
 			t.Fatal(err)
 		}
 		third := c.Sockets / 3 // what usual clients may hold; each has a dial
-		if c.Descriptors > c.Sockets-spareSockets || c.MaxChannels < third || 2*c.MaxChannels > c.Descriptors {
+		if c.Descriptors > c.Sockets-spareSockets-c.Probes || c.Descriptors-c.DialSpare-2*c.MaxChannels < doorLeast || c.MaxChannels < third || 2*c.MaxChannels > c.Descriptors {
 			t.Errorf("%s descriptors: %+v", sockets, c)
 		}
 	}
 	c, _ := Parse([]byte(good), noEnv)
-	if err := c.Reserve(Fronts{QUIC: QUIC{Listen: "x", MaxFlows: 100}}); err != nil || c.Descriptors != 1100-spareSockets-100 {
+	if err := c.Reserve(Fronts{QUIC: QUIC{Listen: "x", MaxFlows: 100}}); err != nil || c.Descriptors != 1100-spareSockets-probeMost-100 {
 		t.Errorf("with flows: %+v, %v", c, err)
 	}
 	if err := c.Reserve(Fronts{QUIC: QUIC{Listen: "x", MaxFlows: 600}}); err == nil || !strings.Contains(err.Error(), "quic.max_flows: 600") {
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -41,6 +41,8 @@
 	Reload    float64   `json:"reload_every_s"`
 	Notice    int       `json:"notice_ms"`
 	RollLag   int       `json:"roll_lag_ms"`
+	Sockets   int       `json:"sockets"`
+	MemoryMB  int       `json:"memory_mb"`
 	Troubles  []Trouble `json:"troubles"`
 }
 
@@ -81,7 +83,7 @@
 // Parse checks the JSON of an experiment against its schema and fills in what it leaves out.
 func Parse(raw []byte) (Experiment, error) {
 	e := Experiment{Capacity: 500, Group: 4, Fill: 3, Every: 200, Patience: 2000, State: 2048, Tokens: true, Notice: 300,
-		RollLag: 150, Seed: 1}
+		RollLag: 150, MemoryMB: 192, Seed: 1}
 	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
 	if err != nil {
 		return e, fmt.Errorf("no JSON: %w", err)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -16,6 +17,8 @@
 
 	"cottonplank/internal/management"
 	"cottonplank/internal/token"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -35,6 +38,7 @@
 	process    *exec.Cmd
 	ended      chan struct{}
 	log        *os.File
+	sockets    int // descriptors that it may open; 0: as many as the lab
 }
 
 // freePort is an address on loopback that nobody listens at.
@@ -60,10 +64,11 @@
 	if b.management, err = freePort(); err != nil {
 		return nil, err
 	}
+	b.sockets = e.Sockets
 	patience := float64(e.Patience) / 1000
 	cfg := map[string]any{"name": name, "listen": b.address, "management": b.management, "discovery": discovery,
 		"seed":   strconv.FormatUint(e.Seed+uint64(len(name)), 16),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 4096 + 4*e.Sessions}, "known": known,
+		"limits": map[string]any{"cores": 1, "memory_mb": e.MemoryMB, "sockets": cmp.Or(e.Sockets, 4096+4*e.Sessions)}, "known": known,
 		"settings": map[string]any{"zone": "a", "areas": []string{"a"}, "balancers": e.Balancers, "membership_mode": "subscribe",
 			"profiles": []any{map[string]any{"name": "solo-play", "aim_s": 0.3, "give_up_s": patience, "repeat": "idempotent"}},
 			"limits": map[string]any{"connect_timeout_s": 0.25, "retry_after": true, "max_retry_after_s": 1.5, "may_probe": true,
@@ -105,6 +110,11 @@
 		b.log.Close()
 		return fmt.Errorf("balancer %s: %w", b.name, err)
 	}
+	if n := uint64(b.sockets); n > 0 {
+		if err := unix.Prlimit(b.process.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n}, nil); err != nil {
+			return fmt.Errorf("balancer %s: descriptors: %w", b.name, err)
+		}
+	}
 	b.ended = make(chan struct{})
 	go func() {
 		b.process.Wait()
@@ -134,7 +144,7 @@
 // renew starts a new version beside the running one, which hands its sockets over, and stops the old one once the new one
 // serves. It returns the new one's process under the same name and address.
 func (b *balancer) renew(ctx context.Context) (*balancer, error) {
-	next := &balancer{name: b.name, address: b.address, dir: b.dir, program: b.program, fronts: b.fronts}
+	next := &balancer{name: b.name, sockets: b.sockets, address: b.address, dir: b.dir, program: b.program, fronts: b.fronts}
 	var err error
 	if next.management, err = freePort(); err != nil {
 		return nil, err
@@ -146,21 +156,6 @@
 	return next, b.stop()
 }
 
-// rss is the process's resident memory in MB.
-func (b *balancer) rss() (float64, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", b.process.Process.Pid))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(raw)) {
-		if kb, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			n, err := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(kb), " kB"), 64)
-			return n / 1024, err
-		}
-	}
-	return 0, fmt.Errorf("balancer %s: no VmRSS", b.name)
-}
-
 // kill ends the process as a crash does.
 func (b *balancer) kill() {
 	b.process.Process.Kill()
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -132,3 +132,24 @@
 		t.Error("refusals break nothing")
 	}
 }
+
+// The smallest limits that are taken, a list longer than they are wide, and more players than may stand: each is answered, those
+// beyond the bound are refused at once, and the limits are kept. Guards against clients that lie unanswered in the backlog
+// of a balancer that has used up its descriptors, and against probes' connections that use up the others'.
+func TestSmallLimits(t *testing.T) {
+	e, err := Load("../../experiments/small-limits.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(t.Context(), program(t), e, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stood := int(r.Balancers["open_requests"])
+	if !r.Sound() || r.LostAnswers > 0 || r.Failed > 0 || r.Refused < 120 || stood < 40 || stood > 56 {
+		t.Errorf("%d stand: %+v", stood, r)
+	}
+	if c := r.Cost; c.Descriptors > 128 || c.RSS > 32 || c.RSS == 0 || c.Probes == 0 || c.Open == 0 || c.CPU == 0 {
+		t.Errorf("%+v", c)
+	}
+}
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -32,6 +32,7 @@
 	LostAnswers   int               `json:"lost_answers"`
 	BrokenUnmoved int               `json:"broken_connections_not_moved"` // other than by a kill -9
 	RSS           float64           `json:"rss_mb_per_instance"`
+	Cost          Cost              `json:"cost"`
 	Refused       int               `json:"refused"`
 	Failed        int               `json:"failed"`
 	Raced         int               `json:"raced"`      // tokens presented at two balancers beside their owner's request,
@@ -94,6 +95,7 @@
 	row("answers, lost", func(c Result) string { return fmt.Sprintf("%d, %d", c.Answers, c.LostAnswers) })
 	row("broken without MOVE", number(func(c Result) int { return c.BrokenUnmoved }))
 	row("MB a balancer", func(c Result) string { return fmt.Sprintf("%.1f", c.RSS) })
+	row("MB, descriptors of the largest", func(c Result) string { return fmt.Sprintf("%.1f, %d", c.Cost.RSS, c.Cost.Descriptors) })
 	row("refused", number(func(c Result) int { return c.Refused }))
 	row("failed", number(func(c Result) int { return c.Failed }))
 	row("tokens raced", number(func(c Result) int { return c.Raced }))
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -204,6 +204,8 @@
 	defer second.Stop()
 	troubles := r.e.Troubles
 	end := time.After(r.e.length() + settle)
+	filled := time.After(time.Duration(r.e.Fill*float64(time.Second)) + settle)
+	var from reading
 	var hangups <-chan time.Time
 	if r.e.Reload > 0 {
 		ticker := time.NewTicker(time.Duration(r.e.Reload * float64(time.Second)))
@@ -220,6 +222,11 @@
 			stop()
 			all.Wait()
 			return ctx.Err()
+		case <-filled:
+			var err error
+			if from, err = r.look(); err != nil {
+				return err
+			}
 		case <-end:
 			running = false
 		case <-due:
@@ -241,6 +248,13 @@
 			}
 		}
 	}
+	to, err := r.look()
+	if err != nil {
+		return err
+	}
+	if !from.at.IsZero() && len(r.ended) == 0 {
+		r.cost(from, to)
+	}
 	stop()
 	all.Wait()
 	r.lagging.Wait()
@@ -257,7 +271,7 @@
 	if err := b.figures(r.result.Balancers); err != nil {
 		return err
 	}
-	rss, err := b.rss()
+	rss, _, _, err := b.usage()
 	if err != nil {
 		return err
 	}
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -395,7 +395,8 @@
 	for name, treat := range map[string]func(net.Conn, *bufio.Reader){
 		"busy": say("BUSY inflight=7\r\n"), "error": say("ERR\r\n"), "breaks": say(""), "half a line": say("UP rec"),
 		"hangs": hang, "unknown answer": say("WHAT\r\n"), "too long": say(strings.Repeat("x", 2*maxLine)),
-		"up without receipt": say("UP\r\n"),
+		"up without receipt": say("UP\r\n"), "bytes": say("\x00\xff\x80UP receipt-9\r\n"), "two answers": say("ERR\r\nUP receipt-9\r\n"),
+		"bare line ends": say("UP receipt-9\nUP receipt-9\r\n"), "spoilt report": say("BUSY inflight=1e999,x0=-,=,,x0\r\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/line/probe_test.go
+++ b/internal/line/probe_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -65,3 +66,53 @@
 		t.Errorf("%d connections for 5 probes, want 3", n)
 	}
 }
+
+// Guards the descriptors of a small limit against a list longer than it: the connection that was used least goes.
+func TestFewProbeConnectionsAreKept(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	b := newBalancer(t)
+	p := NewProber(ctx, b.module, 3)
+	defer p.Wait()
+	defer cancel()
+	var all []*answerer
+	for i := range 6 {
+		all = append(all, newServer(t, name(i), func(conn net.Conn, r *bufio.Reader) {
+			for err := error(nil); err == nil; _, err = r.ReadString('\n') {
+				io.WriteString(conn, "PONG x0=0.5\r\n")
+			}
+		}))
+	}
+	probe := func(i int) {
+		in := all[i].instance()
+		p.Probe(ctx, 1, core.Subchannel{ID: in.ID, Instance: in.Name, Address: in.Address})
+		for end := time.Now().Add(10 * time.Second); len(all[i].lines()) == 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for _, i := range []int{0, 1, 2, 0, 3, 4, 5} { // 0 is used again, so that 1 goes first
+		probe(i)
+		if len(p.subchannels) > 3 {
+			t.Fatalf("%d are kept", len(p.subchannels))
+		}
+		if i == 3 && (p.subchannels[all[1].instance().ID] != nil || p.subchannels[all[0].instance().ID] == nil) {
+			t.Error("another than the least used one went")
+		}
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		open := 0
+		for _, a := range all {
+			a.mu.Lock()
+			open += a.out
+			a.mu.Unlock()
+		}
+		if open == 3 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, 3 wanted", open)
+		}
+	}
+}
+
+func name(i int) string { return "s-" + strconv.Itoa(i) }
--- a/internal/line/resume_test.go
+++ b/internal/line/resume_test.go
@@ -88,7 +88,7 @@
 	front.Resume(NewResuming(s.limits, ring))
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	prober := NewProber(ctx, module)
+	prober := NewProber(ctx, module, 100)
 	running.Go(func() { module.Run(ctx, prober, noList{}); prober.Wait() })
 	running.Go(func() { front.Serve(ctx, l, pause) })
 	b := &balancer{module: module, front: front, pause: pause, addr: l.Addr().String()}
--- a/internal/line/subchannel.go
+++ b/internal/line/subchannel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/textproto"
 	"sync"
@@ -21,12 +22,14 @@
 	module      *core.Module
 	dialer      net.Dialer
 	subchannels map[decide.ServerID]*subchannel
+	most        int
+	turn        uint64
 	actors      sync.WaitGroup
 }
 
-// NewProber returns a prober whose actors end with ctx.
-func NewProber(ctx context.Context, module *core.Module) *Prober {
-	return &Prober{ctx: ctx, module: module, dialer: net.Dialer{KeepAlive: -1},
+// NewProber returns a prober whose actors end with ctx. Each keeps a connection; there are most of them at most.
+func NewProber(ctx context.Context, module *core.Module, most int) *Prober {
+	return &Prober{ctx: ctx, module: module, dialer: net.Dialer{KeepAlive: -1}, most: most,
 		subchannels: map[decide.ServerID]*subchannel{}}
 }
 
@@ -37,16 +40,33 @@
 func (p *Prober) Probe(ctx context.Context, seq uint64, server core.Subchannel) {
 	s := p.subchannels[server.ID]
 	if s == nil {
+		if len(p.subchannels) >= p.most {
+			p.Forget(p.oldest())
+		}
 		s = &subchannel{prober: p, probes: make(chan probeOrder, probeBacklog)}
 		p.subchannels[server.ID] = s
 		p.actors.Go(s.run)
 	}
+	p.turn++
+	s.used = p.turn
 	select {
 	case s.probes <- probeOrder{ctx, seq, server}:
 	default:
 	}
 }
 
+// oldest is the room server whose latest probe is longest ago. Guards the descriptors of a small limit against a long list:
+// the connection that is used least goes, and its server costs a handshake when it is probed again.
+func (p *Prober) oldest() (id decide.ServerID) {
+	least := uint64(math.MaxUint64)
+	for server, s := range p.subchannels {
+		if s.used < least {
+			id, least = server, s.used
+		}
+	}
+	return id
+}
+
 // Forget ends the actor of a room server that is gone.
 func (p *Prober) Forget(server decide.ServerID) {
 	if s := p.subchannels[server]; s != nil {
@@ -66,6 +86,7 @@
 type subchannel struct {
 	prober  *Prober
 	probes  chan probeOrder
+	used    uint64 // the prober's turn at its latest probe; the prober's
 	conn    net.Conn
 	text    *textproto.Conn
 	address string
--- a/internal/resolver/resolver_test.go
+++ b/internal/resolver/resolver_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -176,6 +177,14 @@
 		"too long": func(w http.ResponseWriter, _ *http.Request) {
 			io.WriteString(w, strings.Repeat(" ", maxList+1)+list)
 		},
+		"cut off": func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, list[:len(list)/2]) },
+		"cut short of its length": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(2*len(list)))
+			io.WriteString(w, list[:len(list)-1])
+		},
+		"one bad line of many": func(w http.ResponseWriter, _ *http.Request) {
+			io.WriteString(w, strings.Replace(list, entry, entry+","+strings.Replace(entry, "10.1.0.18:9000", "nowhere", 1), 1))
+		},
 		"reset": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 		"hangs": func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() },
 	} {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -137,7 +137,12 @@
 			c.breaks("%v: request %s was answered %v after its client had given up", e.At, e.Request, e.At-r.until)
 		}
 	case Left:
-		c.request(e.Request).gone = true
+		r := c.request(e.Request)
+		if !r.answered && !r.gone && r.until > 0 && e.At > r.until+c.figures.Slack {
+			c.breaks("%v: request %s had no answer from %s %v after its time", e.At, e.Request, r.balancer, e.At-r.until)
+			c.report.LostAnswers++
+		}
+		r.gone = true
 	case Cut:
 		if r := c.request(e.Request); !r.answered && !r.gone {
 			c.breaks("%v: request %s was cut off without an answer by %s", e.At, e.Request, r.balancer)
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -12,6 +12,7 @@
 // checker against one that sees nothing.
 func TestFinds(t *testing.T) {
 	taken := Event{Kind: Taken, Request: "r", Balancer: "n1", Until: 100 * ms}
+	patient := Event{Kind: Taken, Request: "r", Balancer: "n1", Until: 2 * time.Second}
 	for name, v := range map[string]struct {
 		events []Event
 		broken string // empty: nothing
@@ -27,6 +28,7 @@
 		"never":          {[]Event{taken}, "never answered", 0, 0, 0},
 		"cut":            {[]Event{taken, {Kind: Cut, Request: "r"}}, "cut off", 0, 0, 0},
 		"left":           {[]Event{taken, {Kind: Left, Request: "r"}, {Kind: Cut, Request: "r"}}, "", 0, 0, 0},
+		"left too late":  {[]Event{taken, {At: 151 * ms, Kind: Left, Request: "r"}}, "no answer", 0, 0, 0},
 		"killed":         {[]Event{taken, {Kind: Killed, Balancer: "n1"}, {Kind: Cut, Request: "r"}}, "", 0, 0, 0},
 		"killed before":  {[]Event{{Kind: Killed, Balancer: "n1"}, taken, {Kind: Cut, Request: "r"}}, "", 0, 0, 0},
 		"started again": {[]Event{{Kind: Killed, Balancer: "n1"}, {Kind: Fresh, Balancer: "n1"}, taken, {Kind: Cut, Request: "r"}},
@@ -37,13 +39,13 @@
 			{At: 40 * ms, Kind: Ended, Request: "r", Server: "a"}}, "", 0, 0, 0},
 		"one after the other": {[]Event{{Kind: Began, Request: "r", Server: "a"}, {Kind: Ended, Request: "r", Server: "a"},
 			{Kind: Began, Request: "r", Server: "b"}}, "", 0, 0, 0},
-		"drained": {[]Event{{Kind: Told, Balancer: "n1", Server: "a"}, taken, {At: 551 * ms, Kind: Began, Request: "r", Server: "a"},
+		"drained": {[]Event{{Kind: Told, Balancer: "n1", Server: "a"}, patient, {At: 551 * ms, Kind: Began, Request: "r", Server: "a"},
 			{At: 551 * ms, Kind: Left, Request: "r"}}, "told that it drains", 0, 0, 0},
-		"another was told": {[]Event{{Kind: Told, Balancer: "n2", Server: "a"}, taken, {At: 551 * ms, Kind: Began, Request: "r", Server: "a"},
+		"another was told": {[]Event{{Kind: Told, Balancer: "n2", Server: "a"}, patient, {At: 551 * ms, Kind: Began, Request: "r", Server: "a"},
 			{At: 551 * ms, Kind: Left, Request: "r"}}, "", 0, 0, 0},
-		"an earlier process was told": {[]Event{{Kind: Told, Balancer: "n1", Server: "a"}, {Kind: Fresh, Balancer: "n1"}, taken,
+		"an earlier process was told": {[]Event{{Kind: Told, Balancer: "n1", Server: "a"}, {Kind: Fresh, Balancer: "n1"}, patient,
 			{At: 551 * ms, Kind: Began, Request: "r", Server: "a"}, {At: 551 * ms, Kind: Left, Request: "r"}}, "", 0, 0, 0},
-		"back": {[]Event{{Kind: Told, Balancer: "n1", Server: "a"}, {Kind: Ready, Balancer: "n1", Server: "a"}, taken,
+		"back": {[]Event{{Kind: Told, Balancer: "n1", Server: "a"}, {Kind: Ready, Balancer: "n1", Server: "a"}, patient,
 			{At: time.Second, Kind: Began, Request: "r", Server: "a"}, {At: time.Second, Kind: Left, Request: "r"}}, "", 0, 0, 0},
 		"fell": {[]Event{{Kind: Fell, Server: "a"}}, "pushed over", 0, 0, 0},
 		"two places": {[]Event{{Kind: Attached, Session: "s", Epoch: 1, Server: "a"},
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cottonplank/internal/rules"
@@ -39,8 +40,12 @@
 	entries []Entry
 	changed chan struct{}
 	log     []listing // changes, by version
+	calls   atomic.Uint64
 }
 
+// Calls counts the calls so far, of all balancers.
+func (d *Discovery) Calls() uint64 { return d.calls.Load() }
+
 // NewDiscovery returns one with an empty list.
 func NewDiscovery(recorder *rules.Recorder) *Discovery {
 	return &Discovery{recorder: recorder, changed: make(chan struct{})}
@@ -118,6 +123,7 @@
 }
 
 func (d *Discovery) serve(balancer string, w http.ResponseWriter, req *http.Request) {
+	d.calls.Add(1)
 	from, err := strconv.ParseInt(req.URL.Query().Get("from"), 10, 64)
 	if err != nil || from == 0 {
 		from = -1
--- a/internal/standin/player.go
+++ b/internal/standin/player.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -105,6 +107,9 @@
 
 var requests atomic.Uint64
 
+// goneFor is how long after its time a client still waits for an answer that is owed, before it gives up for good.
+const goneFor = 500 * time.Millisecond
+
 // NewPlayer returns a client of a puzzle room.
 func NewPlayer(cfg PlayerConfig, seed uint64, room string) *Player {
 	rng := rand.New(rand.NewPCG(seed, 2))
@@ -168,15 +173,17 @@
 		cfg.Recorder.Add(rules.Event{Kind: rules.Left, Request: id}) // it was not taken
 		return p.jitter(20*time.Millisecond, 100*time.Millisecond)
 	}
+	readBy(ctx, conn, time.Now().Add(cfg.Patience+goneFor))
 	line, err := textline.Read(r)
 	if err != nil {
 		kind := rules.Cut
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) {
 			kind = rules.Left
 		}
 		cfg.Recorder.Add(rules.Event{Kind: kind, Request: id})
 		return p.jitter(20*time.Millisecond, 100*time.Millisecond)
 	}
+	readBy(ctx, conn, time.Time{})
 	cfg.Recorder.Add(rules.Event{Kind: rules.Answered, Request: id, Text: line})
 	t.Answers.Add(1)
 	word, rest, _ := strings.Cut(line, " ")
@@ -196,6 +203,14 @@
 	return p.jitter(50*time.Millisecond, 200*time.Millisecond)
 }
 
+// readBy sets a deadline for reading; the end of ctx, which sets one in the past, comes before it.
+func readBy(ctx context.Context, conn net.Conn, t time.Time) {
+	conn.SetReadDeadline(t)
+	if ctx.Err() != nil {
+		conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 func (p *Player) ask(conn net.Conn, id, token string, again bool) error {
 	line := fmt.Sprintf("OPEN %s %s c=%s,t=%s,d=%d,g=%s", id, p.key, p.cfg.Class, p.cfg.Tenant, p.cfg.Patience.Milliseconds(), p.room)
 	if p.cfg.Tokens {
--- a/internal/standin/room.go
+++ b/internal/standin/room.go
@@ -68,6 +68,21 @@
 	setups   []time.Time // of the last second
 	stalled  atomic.Int64
 	fallen   bool // one too many came while it was cold
+	accepted uint64
+	probes   uint64
+}
+
+// Traffic is what a room server has seen so far, and how many connections are open now, probes' among them.
+type Traffic struct {
+	Accepted, Probes uint64
+	Open             int
+}
+
+// Traffic counts it.
+func (s *Room) Traffic() Traffic {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Traffic{s.accepted, s.probes, len(s.conns)}
 }
 
 // roomConn is one connection of a Room's.
@@ -195,6 +210,7 @@
 			return
 		}
 		s.last++
+		s.accepted++
 		c := &roomConn{room: s, id: s.last, conn: conn, r: bufio.NewReaderSize(conn, 4096)}
 		s.conns[c.id] = c
 		s.all.Go(c.serve)
@@ -260,6 +276,7 @@
 	case "STATS":
 		s := c.room
 		s.mu.Lock()
+		s.probes++
 		open := s.open
 		s.mu.Unlock()
 		return c.say(fmt.Sprintf("PONG qps=0,inflight=%d,x0=%.3f", open, float64(open)/float64(s.cfg.Capacity)))
