--- a/cmd/cottonplank-lab/main.go
+++ b/cmd/cottonplank-lab/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 
 	"cottonplank/internal/lab"
@@ -67,7 +68,40 @@
 			}
 			return experiment(c.Context(), program, e, false, out, say)
 		}}
-	root.AddCommand(play, demo)
+	var balancers, rooms []int
+	var sessions int
+	var seconds float64
+	size := &cobra.Command{Use: "size", Short: "Measure what fleets of several sizes cost", Args: cobra.NoArgs,
+		Long: "Measure what fleets cost while nothing goes wrong: the largest balancer's memory and descriptors, the mean one's processor\n" +
+			"time, and probes, new and open connections at a room server in the mean.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			path, err := balancerAt(program)
+			if err != nil {
+				return err
+			}
+			all, err := lab.Sizes(c.Context(), path, balancers, rooms, sessions, seconds, say)
+			if err != nil {
+				return status{broken, err}
+			}
+			if asJSON {
+				err = json.NewEncoder(out).Encode(all)
+			} else {
+				err = lab.SizeTable(out, all)
+			}
+			if err != nil {
+				return status{broken, err}
+			}
+			if slices.ContainsFunc(all, func(s lab.Size) bool { return !s.Sound }) {
+				return status{broken, errors.New("a rule or an invariant broke")}
+			}
+			return nil
+		}}
+	size.Flags().IntSliceVar(&balancers, "balancers", []int{3, 30, 300}, "numbers of balancers")
+	size.Flags().IntSliceVar(&rooms, "rooms", []int{10, 90}, "numbers of room servers")
+	size.Flags().IntVar(&sessions, "sessions", 10, "sessions for each room server")
+	size.Flags().Float64Var(&seconds, "seconds", 20, "measured, once all sessions have come")
+	size.Flags().BoolVar(&asJSON, "json", false, "print one JSON list and nothing else on standard output")
+	root.AddCommand(play, demo, size)
 	called, err := root.ExecuteContextC(ctx)
 	if err == nil {
 		return kept
@@ -88,17 +122,26 @@
 const demoExperiment = `{"name":"demo","balancers":2,"rooms":3,"sessions":60,"fill_s":2,"seconds":9,"troubles":[
 {"at_s":4,"do":"drain","room":0},{"at_s":7,"do":"kill","balancer":0}]}`
 
-// experiment plays e, and once more without tokens where it asks for that.
-func experiment(ctx context.Context, program string, e lab.Experiment, asJSON bool, out io.Writer, say func(string)) error {
+// balancerAt is the program that was named, or the one beside this.
+func balancerAt(program string) (string, error) {
 	if program == "" {
 		own, err := os.Executable()
 		if err != nil {
-			return status{broken, err}
+			return "", status{broken, err}
 		}
 		program = filepath.Join(filepath.Dir(own), "cottonplank")
 	}
 	if _, err := os.Stat(program); err != nil {
-		return status{bad, fmt.Errorf("balancer: %w", err)}
+		return "", status{bad, fmt.Errorf("balancer: %w", err)}
+	}
+	return program, nil
+}
+
+// experiment plays e, and once more without tokens where it asks for that.
+func experiment(ctx context.Context, program string, e lab.Experiment, asJSON bool, out io.Writer, say func(string)) error {
+	program, err := balancerAt(program)
+	if err != nil {
+		return err
 	}
 	result, err := lab.Run(ctx, program, e, say)
 	if err != nil {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -153,3 +153,23 @@
 		t.Errorf("%+v", c)
 	}
 }
+
+// A size is a fleet of its own, measured while its sessions stand.
+func TestSizes(t *testing.T) {
+	all, err := Sizes(t.Context(), program(t), []int{1, 2}, []int{2}, 4, 0.5, func(string) {})
+	if err != nil || len(all) != 2 {
+		t.Fatal(all, err)
+	}
+	for i, s := range all {
+		if s.Balancers != i+1 || s.Rooms != 2 || s.Sessions != 8 || !s.Sound || s.Cost.Open < 4 || s.Cost.Descriptors < 8 || s.Cost.RSS < 5 {
+			t.Errorf("%+v", s)
+		}
+	}
+	var table bytes.Buffer
+	if err := SizeTable(&table, all); err != nil || strings.Count(table.String(), "\n") != 3 {
+		t.Error(table.String(), err)
+	}
+	if _, err := Sizes(t.Context(), "nothing", []int{1000}, []int{2}, 4, 1, func(string) {}); err == nil || !strings.Contains(err.Error(), "balancers") {
+		t.Errorf("1000 balancers: %v", err)
+	}
+}
