Do not shed a channel whose request is here and was not read yet

At fault: core.Shed drops a channel that has asked for nothing for 10 ms, by the core's clock; on a busy machine its reader may not have run by then, with the line in the socket.

The channel's actor looks, when it is told to drop: bytes that were not read, or a line that was not handed on, keep it. TestUnreadLinesAreNotShed fails without.

--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -16,6 +16,8 @@
 	"cottonplank/internal/core"
 	"cottonplank/internal/resumeline"
 	"cottonplank/internal/textline"
+
+	"golang.org/x/sys/unix"
 )
 
 // channel is the actor of one client: it owns the client's connection and the one to its room server. Orders
@@ -38,6 +40,8 @@
 	up       *upstream // the attempt that is out, or the server of a standing connection
 	stands   bool
 	left     bool        // the client has ended its side
+	asked    bool        // its first line was handed to the core,
+	heard    atomic.Bool // or has been read at least
 	awaiting atomic.Bool // the client sent something that is not answered yet
 }
 
@@ -193,15 +197,30 @@
 			c.client.SetWriteDeadline(time.Now().Add(moveWithin))
 		}
 	case orderDrop:
-		return false
+		// Guards a request that is here already: a busy machine may read it later than the core waits for it.
+		return !c.asked && (c.heard.Load() || unread(c.client))
 	}
 	return true
 }
 
+// unread tells whether the kernel holds bytes that have come and were not read. It takes none.
+func unread(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT) // an error is no byte
+	})
+	return err == nil && n > 0
+}
+
 // hear takes news from the readers; false ends the actor.
 func (c *channel) hear(news any) bool {
 	switch n := news.(type) {
 	case newsFirst:
+		c.asked = true
 		c.begin(n.line, n.at)
 	case newsEarly:
 		if !c.stands {
@@ -423,6 +442,7 @@
 		if err != nil || c.text.R.Buffered() > 0 {
 			line = "" // malformed, or more came with it: no client's form
 		}
+		c.heard.Store(true)
 		c.tell(newsFirst{line, time.Now()})
 		break
 	}
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -386,6 +386,46 @@
 	standing.want("re x\r\n")
 }
 
+// Guards a request whose line is there, but was not read yet, against being shed as a silent channel's: seen on a machine with
+// all cores busy, where one of 675 clients was cut off.
+func TestUnreadLinesAreNotShed(t *testing.T) {
+	t.Parallel()
+	b := newBalancer(t)
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := dial(t, l.Addr().String())
+	defer c.conn.Close()
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ch := b.front.channel(conn)
+	drop := func() bool { return !ch.obey(t.Context(), order{kind: orderDrop}) }
+	if !drop() {
+		t.Error("a silent channel stays")
+	}
+	c.send(opening())
+	for end := time.Now().Add(10 * time.Second); !unread(conn) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if drop() {
+		t.Error("a request that has come is dropped")
+	}
+	if line, err := ch.text.R.ReadString('\n'); err != nil || !strings.HasPrefix(line, "OPEN ") {
+		t.Fatalf("read %q, %v: looking took some of it", line, err)
+	}
+	if ch.heard.Store(true); drop() {
+		t.Error("one that was read and not handed on is dropped")
+	}
+	if ch.asked = true; !drop() {
+		t.Error("one that was handed on stays, though the core drops it")
+	}
+}
+
 // firstLineMost is far less than 60 silent channels take to go by themselves, 12 at a time and each after 2 s.
 const firstLineMost = 6 * time.Second
 
