--- a/decide/decide.go
+++ b/decide/decide.go
@@ -619,8 +619,8 @@
 	}
 }
 
-// farthest orders a server's connections for moving: those of groups of which it holds fewest first, as far as
-// is known, then of those least at home there, equal at all balancers; the server stops paying for these.
+// farthest orders a server's connections for moving: those of groups of which it holds fewest first, as far
+// as is known, then of those least at home there, equal at all balancers; it stops paying for these.
 func (b *Balancer) farthest(s *server) []*request {
 	conns := slices.Clone(s.conns)
 	b.rng.Shuffle(len(conns), func(i, j int) { conns[i], conns[j] = conns[j], conns[i] })
