Open a group once, and price nothing by a mean of few reports

Printed at a refusal: the home's report 1.8 s old and 0.00, its load 0.81 by 26 bookings, one connection taken for 0.0102 of the load where it is 0.0025; nothing waits for the throttle (window 19, 11 out), none left out.

At fault: state.opens priced each of a group's requests as if it opened the group until the first one stood, and state.usual takes the mean load of the zone, which begins at 0.5, for known after a few reports (0.265 here). What is booked for the group counts as open now, and under 16 reports the mean prices nothing.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -544,7 +544,7 @@
 	}
 	if slices.Contains(b.local, s) {
 		b.pool = addAnswer(b.pool, s)
-		b.mean += (min(s.load, 1.5) - b.mean) / poolSize
+		b.learnMean(s.load)
 	} else {
 		b.away = addAnswer(b.away, s)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -964,6 +964,29 @@
 	}
 }
 
+// A group is opened once: what comes while the first of it is being set up is booked for itself. And what few reports tell
+// of a usual connection is a guess, which prices nothing. Guards a whole group that a drain sends away at once.
+func TestAGroupIsOpenedOnce(t *testing.T) {
+	set := groups()
+	set.Balancers = 1
+	w := newWorld(t, set)
+	w.full(servers(2, 0))
+	home := w.b.homes(&request{Requested: Requested{Group: "taxi-7"}}, w.b.local)[0]
+	w.send(Probed{Server: home.ID, Code: OK, Report: Report{Load: 0.1, Held: 20}})
+	for i := range 16 {
+		if s := w.placed(w.askGroup(name("r", i), "taxi-7")); s != home.ID {
+			t.Fatalf("request %d went to %d", i, s)
+		}
+	}
+	if got, want := home.load, 0.1+(openGroup+16)*0.005; math.Abs(got-want) > 1e-9 {
+		t.Errorf("load %v with 16 booked, want %v", got, want)
+	}
+	home.each = 0
+	if _, guess := w.b.usual(home); !guess {
+		t.Error("one report is taken for a mean")
+	}
+}
+
 // The server stops paying soonest for a group of which it holds few.
 func TestMovesEmptySmallGroupsFirst(t *testing.T) {
 	set := groups()
--- a/decide/state.go
+++ b/decide/state.go
@@ -83,7 +83,8 @@
 	lastSign            time.Duration // last sign of life from any server, or the first failure after it
 	failing             bool          // attempts have failed since then
 	pool, away          []*server     // fresh answers, oldest first: own zone; others, while it lacks room
-	mean                float64       // average load that own-zone probes tell
+	mean                float64       // average load that own-zone probes tell,
+	told                int           // and how many have
 	spillAt             time.Duration // when the own zone last lacked room
 	probeNext           int           // rotates the probes of the own zone,
 	probeTurn           int           // and decides when it is another's turn
@@ -201,13 +202,21 @@
 }
 
 // usual estimates what a usual connection adds to a server's load, as its report tells, else as the zone's mean load over
-// the connections that a server holds on average, were all balancers alike. Of fewer than shareLeast it is a guess.
+// the connections that a server holds on average, were all balancers alike. Of fewer than shareLeast, or of few reports, it is a guess.
 func (b *Balancer) usual(s *server) (load float64, guess bool) {
 	if s.each > 0 {
 		return s.each, false
 	}
 	held := float64(len(b.requests)) * b.peers() / float64(max(len(b.local), 1))
-	return b.mean / max(held, shareLeast), held < shareLeast
+	return b.mean / max(held, shareLeast), held < shareLeast || b.told < meanLeast
+}
+
+// meanLeast is how many reports the mean load is of before it tells more than what it began with.
+const meanLeast = 2 * poolSize
+
+func (b *Balancer) learnMean(load float64) {
+	b.told++
+	b.mean += (min(load, 1.5) - b.mean) / poolSize
 }
 
 // share is what a request's connection adds.
@@ -224,7 +233,8 @@
 // far as this balancer knows: where others share the zone, one of them holds some of it there most likely.
 func (b *Balancer) opens(r *request, s *server) float64 {
 	usual, guess := b.usual(s)
-	if guess || !b.grouped(r) || s.groups[r.Group] > 0 {
+	opened := func(x booking) bool { return x.r.Group == r.Group } // its set-up is under way, say
+	if guess || !b.grouped(r) || s.groups[r.Group] > 0 || slices.ContainsFunc(s.booked, opened) {
 		return 0
 	}
 	return min((openGroup+b.weight(r))*usual, openMost) / b.peers()
