--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -259,9 +259,7 @@
 		f.list = append(f.list, Server{ID: id, Zone: "a", Started: f.now})
 		f.servers[id] = &fleetServer{capacity: capacity, groups: map[string]int{}}
 	}
-	for i := range f.balancers {
-		f.handle(i, ListReceived{Kind: ListFull, Servers: f.list})
-	}
+	f.tell()
 	rules := f.balancers[0].set.Rules
 	return rules.FallMultiple * rules.Fall.Seconds() * capacity / usualLife.Seconds() * (rules.ColdShare + 0.28)
 }
