--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -81,6 +81,12 @@
 }
 
 func serve(_ io.Writer, frontsFile string) error {
+	// Caught from the first moment until the process ends, also in a planned stop: uncaught, either would end it with
+	// what it has accepted unanswered.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	stop, unregister := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer unregister()
 	cfg, fronts, err := load(frontsFile)
 	if err != nil {
 		return err
@@ -105,7 +111,7 @@
 	marks := &supervise.Marks{}
 	cfg.Share(predecessor != nil).Apply()
 	module, err := core.New(core.Config{Settings: cfg.Settings, Known: cfg.Known, MaxChannels: cfg.MaxChannels,
-		AwaitList: predecessor != nil, StateWait: stateWait(fronts.Resume), Turns: marks.New("module"), Learned: learned(predecessor, log), Log: func(text string) { log.Info(text) }})
+		AwaitList: predecessor != nil, Pushed: cfg.Pushed, StateWait: stateWait(fronts.Resume), Turns: marks.New("module"), Learned: learned(predecessor, log), Log: func(text string) { log.Info(text) }})
 	if err != nil {
 		return err
 	}
@@ -154,11 +160,6 @@
 		log.WithField("socket", name).Warn("a socket that was passed on has no use here: no front of that name, or another address")
 	}
 
-	// Caught until the process ends, also in a planned stop: uncaught, SIGHUP would end it.
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	stop, unregister := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer unregister()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 
@@ -216,7 +217,7 @@
 	log.Info("stopping: answering what is here and moving what stands")
 	supervisor.Stopping(cfg.StopBudget + exitWait)
 	next.stop()
-	<-module.Drain(cfg.StopBudget)
+	<-module.Drain(cfg.StopBudget, func() bool { return front.Waits(listener) })
 	s := module.Snapshot()
 	log.WithFields(logrus.Fields{"served": s.Served, "refused": s.Refused, "failed": s.Failed, "left": s.Left,
 		"moves": s.Moves, "silent": s.Silent, "probes": s.Probes, "attempts": s.Attempts}).Info("stopped")
--- a/cmd/cottonplank/main_test.go
+++ b/cmd/cottonplank/main_test.go
@@ -187,7 +187,7 @@
 type results chan core.Result
 
 func (r results) Resolved(list core.Result) { r <- list }
-func (results) ListAlive()                  {}
+func (results) ListAlive(uint64)            {}
 
 // SIGHUP turns the running program to the discovery that the file now names, before PROXY_DISCOVERY; a client's
 // connection stays. A faulty file changes nothing, and SIGHUP in a planned stop is harmless.
--- a/decide/api.go
+++ b/decide/api.go
@@ -191,6 +191,9 @@
 		Report  Report
 	}
 
+	// Expired says that the host can hold a request no longer: the final answer is due now.
+	Expired struct{ ID RequestID }
+
 	// ClientGone ends a request from the client's side; nothing more is owed.
 	ClientGone struct{ ID RequestID }
 
@@ -268,6 +271,7 @@
 func (LoadChanged) event()  {}
 func (MessagesSlow) event() {}
 func (Ended) event()        {}
+func (Expired) event()      {}
 func (ClientGone) event()   {}
 func (Probed) event()       {}
 func (TimerFired) event()   {}
--- a/decide/state.go
+++ b/decide/state.go
@@ -147,6 +147,10 @@
 		b.messagesSlow(ev)
 	case Ended:
 		b.ended(ev)
+	case Expired:
+		if r := b.requests[ev.ID]; r != nil && !r.stands {
+			b.answer(r)
+		}
 	case ClientGone:
 		b.forget(b.requests[ev.ID])
 	case Probed:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -53,6 +53,7 @@
 	Management  string // the second address; empty: off
 	Discovery   string
 	Settings    decide.Settings
+	Pushed      bool // lists count as told when discovery has them
 	Tenants     []string
 	Known       []core.Instance
 	Generation  int64
@@ -192,7 +193,7 @@
 	if c.Settings, err = f.Settings.decode(); err != nil {
 		return nil, fmt.Errorf("settings.%w", err)
 	}
-	c.Settings.Seed = seed
+	c.Settings.Seed, c.Pushed = seed, f.Settings.Mode == "automatic"
 	for _, t := range f.Settings.Tenants {
 		c.Tenants = append(c.Tenants, t.Name)
 	}
@@ -343,7 +344,7 @@
 		}
 	}
 	out = decide.Settings{
-		Zone: s.Zone, Zones: s.Areas, Balancers: s.Balancers, Subscribe: s.Mode == "subscribe",
+		Zone: s.Zone, Zones: s.Areas, Balancers: s.Balancers, Subscribe: true, // on sockets changes come on a watch alone, whatever the mode
 		MaxTries: l.MostTries, ConnectTimeout: seconds(l.ConnectTimeout), MayProbe: l.MayProbe,
 		Groups: s.Specifics.Groups,
 		Rules: decide.Rules{DrainGrace: seconds(r.DrainGrace), MustAsk: seconds(r.MustAsk), ColdShare: r.ColdShare,
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -34,6 +34,7 @@
 	reopened bool
 	patience time.Duration
 	given    time.Duration // to the latest attempt
+	after    time.Duration // when to come back, where a room server has told; 0: it has not
 	moved    bool
 	since    time.Duration // when it last showed that it lives, or had its answer
 	dropped  bool          // it was shed
@@ -66,6 +67,7 @@
 		m.open[c] = struct{}{}
 		c.since = m.now
 		c.end = m.deadlines.set(m.now+firstLineWait, ch.Drop)
+		m.drained()
 	})
 	return c
 }
@@ -207,7 +209,7 @@
 		return
 	}
 	s := c.m.subchannels[c.reopen]
-	if s == nil || s.state == decide.Gone {
+	if s == nil || c.m.shut(s) {
 		c.retryReopen()
 		return
 	}
@@ -230,18 +232,25 @@
 	c.out, c.server, c.sent, c.given = true, s, m.now, wait
 	s.attempts++
 	c.wait = m.deadlines.set(m.now+wait, func() { c.giveUp(n, decide.TimedOut) })
+	connect := wait
 	if t := m.cfg.Settings.ConnectTimeout; t > 0 && t < wait {
-		c.connect = m.deadlines.set(m.now+t+connectSlack, func() { c.giveUp(n, decide.ConnectFailed) })
+		connect = t + connectSlack
+	}
+	if s.told > 0 { // within its grace; what is not sent by its end is not sent
+		connect = min(connect, s.told+m.cfg.Settings.Rules.DrainGrace-m.now)
+	}
+	if connect < wait {
+		c.connect = m.deadlines.set(m.now+connect, func() { c.giveUp(n, decide.ConnectFailed) })
 	}
 	c.ch.Attempt(CallAttempt{N: n, Server: s.Subchannel, Wait: wait})
 }
 
-// giveUp ends an attempt that brought no answer in time. The order goes to the channel before any order for
-// the next attempt, so that two attempts are never out together.
-func (c *Call) giveUp(n int, code decide.Code) {
+// giveUp ends an attempt that brought no answer in time, or no connection. What became of it is the channel's to say: an
+// attempt that seems never to have run here may have been written there at the same moment. It is out until then, so
+// that two attempts are never out together.
+func (c *Call) giveUp(n int, why decide.Code) {
 	if c.out && c.n == n && c.phase == pending {
-		c.ch.GiveUp(n)
-		c.ended(n, code, decide.NoReport)
+		c.ch.GiveUp(n, why)
 	}
 }
 
@@ -357,7 +366,9 @@
 	delete(c.m.calls, c.id)
 }
 
+// refuse answers that trying again is harmless. When to come back is told only where the settings allow.
 func (c *Call) refuse(retryAfter time.Duration) {
+	retryAfter = min(retryAfter, c.m.cfg.Settings.MaxRetryAfter)
 	if c.settle() {
 		if k := c.counters(); k != nil {
 			k.Refused++
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,8 +18,10 @@
 	// Attempt starts a call attempt. An earlier one has been given up or has ended; its transport is
 	// closed before anything of the new one is sent.
 	Attempt(CallAttempt)
-	// GiveUp ends a call attempt that has no answer.
-	GiveUp(n int)
+	// GiveUp asks for the end of a call attempt that has no answer. The channel alone knows what it has written, so it
+	// decides what became of the attempt and tells it with Module.Ended, once: ConnectFailed where nothing was sent,
+	// else why. One that has its answer, or whose line is sent while why is ConnectFailed, goes on.
+	GiveUp(n int, why decide.Code)
 	// Stand passes the room server's answer of attempt n to the client and relays from then on.
 	Stand(n int)
 	// Unavailable answers that trying again is harmless, after a while if that is not 0, and closes.
@@ -68,11 +70,11 @@
 }
 
 // Resolver asks discovery. The calls must not block; what comes goes to Module.Resolved and Module.ListAlive
-// until ctx ends. Move turns to discovery at another address; the calls after it go there, the first watch with
-// the whole list.
+// until ctx ends, with the number of the watch that it comes from. Move turns to discovery at another address; the
+// calls after it go there, the first watch with the whole list.
 type Resolver interface {
 	Move(address string)
-	Subscribe(ctx context.Context)
+	Subscribe(ctx context.Context, watch uint64)
 	FetchList(ctx context.Context)
 }
 
@@ -88,6 +90,7 @@
 type Result struct {
 	Kind      decide.ListKind
 	Instances []Instance
+	Watch     uint64 // the watch that failed; 0: another call
 }
 
 // Request is what a client asks for.
@@ -134,7 +137,10 @@
 	MaxChannels int
 	// AwaitList says that this process takes over from one that serves: it is ready once discovery has answered it.
 	AwaitList bool
-	Learned   []decide.Learned // by that one, of the room servers
+	// Pushed says that a change of the list counts as told when discovery has it, from the process's first moment on:
+	// the list comes before the first client, and a watch that broke is opened anew at once.
+	Pushed  bool
+	Learned []decide.Learned // by that one, of the room servers
 	// StateWait is how long a session's state may take to come from its room server; 0: sessions are not resumed.
 	StateWait time.Duration
 	Turns     Turns // hears when the module's actor turns; nil: nobody does
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -67,12 +67,12 @@
 	f.got = append(f.got, fmt.Sprintf(format, args...))
 }
 
-func (f *fakeChannel) Attempt(a CallAttempt) { f.add("attempt %d %s", a.N, a.Server.Instance) }
-func (f *fakeChannel) GiveUp(n int)          { f.add("give up %d", n) }
-func (f *fakeChannel) Stand(n int)           { f.add("stand %d", n) }
-func (f *fakeChannel) Fail()                 { f.add("fail") }
-func (f *fakeChannel) Move()                 { f.add("move") }
-func (f *fakeChannel) Drop()                 { f.add("drop") }
+func (f *fakeChannel) Attempt(a CallAttempt)         { f.add("attempt %d %s", a.N, a.Server.Instance) }
+func (f *fakeChannel) GiveUp(n int, why decide.Code) { f.add("give up %d", n) }
+func (f *fakeChannel) Stand(n int)                   { f.add("stand %d", n) }
+func (f *fakeChannel) Fail()                         { f.add("fail") }
+func (f *fakeChannel) Move()                         { f.add("move") }
+func (f *fakeChannel) Drop()                         { f.add("drop") }
 func (f *fakeChannel) Unavailable(d time.Duration) {
 	f.add("unavailable")
 }
@@ -104,7 +104,7 @@
 func (*fakeServers) Forget(decide.ServerID)                    {}
 func (*fakeServers) FetchList(context.Context)                 {}
 
-func (f *fakeServers) Subscribe(ctx context.Context) {
+func (f *fakeServers) Subscribe(ctx context.Context, _ uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked, f.watch = append(f.asked, "watch"), append(f.watch, ctx)
@@ -190,7 +190,13 @@
 	c := m.ask(ch, 3*time.Second)
 	ch.wait(t, "attempt 0")
 	first := ch.orders()
-	ch.wait(t, first+", give up 0, attempt 1") // the connect timeout
+	ch.wait(t, first+", give up 0") // the connect timeout
+	settled(m)
+	if got := ch.orders(); got != first+", give up 0" {
+		t.Errorf("orders are %q: the next attempt comes before the channel has told the end of this one", got)
+	}
+	m.Ended(c, 0, decide.ConnectFailed, decide.NoReport)
+	ch.wait(t, first+", give up 0, attempt 1")
 	m.Up(c, 0)
 	m.Ended(c, 0, decide.Reset, decide.NoReport)
 	m.Connected(c, 1)
@@ -310,7 +316,7 @@
 		}()
 	}
 	start := time.Now()
-	over := m.Drain(budget)
+	over := m.Drain(budget, nil)
 	first := <-moved
 	last := first
 	for range clients - 1 {
@@ -357,7 +363,7 @@
 		t.Fatal(err)
 	}
 	ch.wait(t, "attempt 0 s-1, stand 0, move")
-	m.Drain(3 * time.Second)
+	m.Drain(3*time.Second, nil)
 	if err := m.LameDuck(soon); err != nil || m.Service() != Stopping {
 		t.Errorf("lame duck in a stop: %v, %v", m.Service(), err)
 	}
@@ -419,7 +425,7 @@
 	time.Sleep(2 * shedAfter)
 	m.Shed()
 	silent.wait(t, "drop")
-	over := m.Drain(20 * time.Second) // its moves come late: nothing else holds it up
+	over := m.Drain(20*time.Second, nil) // its moves come late: nothing else holds it up
 	time.Sleep(firstLineWait + 100*time.Millisecond)
 	m.Begun(c) // renews nothing
 	select {
@@ -488,7 +494,7 @@
 	stays.wait(t, "attempt 0")
 	m.Up(a, 0)
 	m.Up(b, 0)
-	over := m.Drain(3 * time.Second)
+	over := m.Drain(3*time.Second, nil)
 	goes.wait(t, "attempt 0 s-1, stand 0, move")
 	m.Ended(b, 0, decide.Cancelled, decide.NoReport)
 	m.Closed(b)
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"time"
+
+	"cottonplank/decide"
 )
 
 // Times of a planned stop, from its signal on.
 const (
 	drainGrace = 450 * time.Millisecond // new clients go on coming for up to 400 ms
 	drainSpare = 300 * time.Millisecond // left of the budget when the last requests are refused
+	drainLook  = 10 * time.Millisecond  // apart, looks at whether clients wait to be accepted
 	drainLeast = 900 * time.Millisecond // it does not end sooner, for what comes late
 )
 
@@ -31,6 +34,8 @@
 	least  bool
 	done   chan struct{} // of a stop
 	closed bool
+	look   *deadline   // the next look at whether it is over
+	waits  func() bool // tells whether clients wait to be accepted; nil: none do
 	due    []*deadline // its steps, which a call back takes back
 }
 
@@ -70,19 +75,32 @@
 func (m *Module) refuseAll() {
 	m.drain.ending = true
 	for c := range m.open {
-		c.refuse(busyRetry)
+		c.answerNow()
 	}
 }
 
-// Drain begins a planned stop that must be over within budget; the channel closes when it is.
-func (m *Module) Drain(budget time.Duration) <-chan struct{} {
+// answerNow gives the final answer ahead of its time. Whether it may say that trying again is harmless is the decision
+// module's to tell, as an attempt may have run.
+func (c *Call) answerNow() {
+	switch {
+	case c.phase != pending:
+	case c.reopened:
+		c.fail() // its attempt is one at a room server that held the connection before
+	default:
+		c.m.handle(decide.Expired{ID: c.id})
+	}
+}
+
+// Drain begins a planned stop that must be over within budget; the channel closes when it is, no sooner than waits tells
+// that no client waits to be accepted, if there is time.
+func (m *Module) Drain(budget time.Duration, waits func() bool) <-chan struct{} {
 	done := make(chan struct{})
 	m.post(func() {
 		if m.drain != nil && m.drain.final {
 			return
 		}
 		m.calledBack() // a lame duck's steps: the stop has its own, and goes on from there
-		m.drain = &drain{final: true, done: done}
+		m.drain = &drain{final: true, done: done, waits: waits}
 		m.enter(Stopping)
 		last := max(budget-moveWait, drainGrace) // a client that takes nothing is dropped before the budget is over
 		m.moveBetween(min(budget/2, last), last)
@@ -138,26 +156,44 @@
 
 func (m *Module) drainEnds() bool { return m.drain != nil && m.drain.ending }
 
-// drained ends the stop early once no first line is on its way, no request waits and nothing stands.
+// drained ends the stop early once no client waits to be accepted, no first line is on its way, no request waits and
+// nothing stands.
 func (m *Module) drained() {
-	if m.drain == nil || !m.drain.least {
+	if m.drain == nil || !m.drain.least || m.drain.closed {
 		return
 	}
+	over, again := true, false
 	for c := range m.open {
 		switch c.phase {
-		case accepted: // guards a client that is slow to write its line
-			if c.begun {
-				return
+		case accepted:
+			over = false
+			// One that has said nothing is closed. Guards a line that is here and was not read yet: the channel looks, and
+			// stays then, as one does whose line has begun to come.
+			switch {
+			case c.begun || c.dropped:
+			case m.now-c.since < shedAfter:
+				again = true
+			default:
+				c.dropped = true
+				c.ch.Drop()
 			}
 		case pending:
-			return
+			over = false
 		default:
-			if !c.traits.Resumable {
-				return
-			}
+			over = over && c.traits.Resumable
 		}
 	}
-	m.drainOver()
+	if over && m.drain.waits != nil && m.drain.waits() { // they are accepted in a moment
+		over, again = false, true
+	}
+	if over {
+		m.drainOver()
+	} else if again && m.drain.look == nil {
+		m.drain.look = m.deadlines.set(m.now+drainLook, func() {
+			m.drain.look = nil
+			m.drained()
+		})
+	}
 }
 
 func (m *Module) drainOver() {
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strconv"
@@ -26,7 +27,9 @@
 	connectSlack  = 20 * time.Millisecond   // the machine's own delay, on top of the connect timeout
 	probeWait     = 200 * time.Millisecond  // a probe without answer counts as timed out
 	listWait      = 4 * time.Second         // a call to discovery without any answer has failed
-	watchWait     = 6 * time.Second         // a watch that brings not even empty lines hangs
+	watchWait     = 3 * time.Second         // a watch that brings not even its empty line of every 2 s hangs
+	pushedPause   = 250 * time.Millisecond  // before a broken watch is opened anew where lists are pushed, at most:
+	pushedLeast   = 20 * time.Millisecond   // a part of the grace, and this at least
 	reopenPause   = 250 * time.Millisecond  // between dials for a connection that was open before the start
 	busyRetry     = time.Second             // told to clients past the bound on channels
 	snapshotEvery = 250 * time.Millisecond
@@ -58,7 +61,10 @@
 	subchannels map[decide.ServerID]*subchannel // the room servers listed, and those gone that still hold connections
 	probes      map[uint64]*probe
 	probeSeq    uint64
-	watch       *listCall // the subscription
+	asked       *listCall // the watch that was asked for and has shown no sign of life yet
+	lastWatch   uint64
+	silent      *deadline // of the watches that are open
+	again       *deadline // of a watch that broke
 	fetch       *listCall
 	waiting     int // requests that have no final answer and do not stand
 	standing    int
@@ -78,8 +84,10 @@
 type subchannel struct {
 	Subchannel
 	zone     string
+	started  time.Time
 	state    decide.State
-	open     int // connections that stand
+	told     time.Duration // when it was told that this one drains or is gone; 0: it was not, or not in this process
+	open     int           // connections that stand
 	attempts uint64
 	load     float64
 }
@@ -92,9 +100,9 @@
 }
 
 type listCall struct {
+	watch  uint64
 	cancel context.CancelFunc
 	due    *deadline
-	alive  bool // it has shown a sign of life
 }
 
 // New checks the settings and returns a module that Run starts.
@@ -125,8 +133,8 @@
 	m.handle(decide.Started{})
 	m.resolved(Result{Kind: decide.ListRestored, Instances: m.cfg.Known})
 	m.balancer.Learn(m.cfg.Learned)
-	if m.cfg.AwaitList {
-		m.askList() // at once: nobody waits for this process while another still serves
+	if m.cfg.AwaitList || m.cfg.Pushed {
+		m.askList() // at once: nobody waits for this process while another still serves, or before it is ready
 		m.deadlines.set(m.now+startWait, m.started)
 	} else {
 		m.started()
@@ -196,7 +204,7 @@
 		m.place(a)
 	case decide.Refuse:
 		if c := m.calls[a.ID]; c != nil {
-			c.refuse(a.RetryAfter)
+			c.refuse(cmp.Or(c.after, a.RetryAfter))
 		}
 	case decide.Fail:
 		if c := m.calls[a.ID]; c != nil {
@@ -209,7 +217,7 @@
 	case decide.Probe:
 		m.probe(a.Server)
 	case decide.Subscribe:
-		m.subscribe()
+		m.resubscribe()
 	case decide.FetchList:
 		m.fetchList()
 	case decide.SetTimer:
@@ -257,16 +265,20 @@
 
 // ---- the list
 
+// subscribe opens a watch. One that is open stays until the new one answers, so that no change is missed.
 func (m *Module) subscribe() {
-	// A watch that is open stays until the new one answers, so that no change is missed. One that has not answered
-	// keeps its deadline: nothing else would end it.
 	ctx, cancel := context.WithCancel(m.ctx)
-	if m.watch != nil && m.watch.alive {
-		m.deadlines.drop(m.watch.due)
+	m.lastWatch++
+	// One that was asked for before and has not answered keeps its deadline: nothing else would end it.
+	m.asked = &listCall{watch: m.lastWatch, cancel: cancel, due: m.deadlines.set(m.now+listWait, cancel)}
+	m.resolver.Subscribe(ctx, m.lastWatch)
+}
+
+// resubscribe opens a watch unless one is being opened, which its own deadline ends.
+func (m *Module) resubscribe() {
+	if m.asked == nil {
+		m.subscribe()
 	}
-	m.watch = &listCall{cancel: cancel}
-	m.watch.due = m.deadlines.set(m.now+listWait, cancel)
-	m.resolver.Subscribe(ctx)
 }
 
 // Rediscover turns to discovery at another address and begins the watch there at once. The list as it is stands
@@ -297,23 +309,41 @@
 	m.resolver.FetchList(ctx)
 }
 
-// ListAlive tells that the watch shows a sign of life.
-func (m *Module) ListAlive() {
+// ListAlive tells that a watch shows a sign of life.
+func (m *Module) ListAlive(watch uint64) {
 	m.post(func() {
-		if m.watch != nil {
-			m.deadlines.drop(m.watch.due)
-			m.watch.alive = true
-			m.watch.due = m.deadlines.set(m.now+watchWait, m.watch.cancel)
+		if m.asked != nil && m.asked.watch == watch {
+			m.deadlines.drop(m.asked.due)
+			m.asked = nil
 		}
+		// Guards against a watch that has fallen silent: what it misses is found by one that is opened beside it.
+		m.deadlines.drop(m.again)
+		m.deadlines.drop(m.silent)
+		m.silent = m.deadlines.set(m.now+watchWait, m.resubscribe)
 	})
 }
 
+// failed tells the decision module that a call failed, which asks again after a pause. Where lists are pushed that is
+// too long: what discovery has counts at once, so that the watch has to be back before the grace is over.
+func (m *Module) failed(r Result) {
+	if m.asked != nil && m.asked.watch == r.Watch {
+		m.deadlines.drop(m.asked.due)
+		m.asked = nil
+	}
+	if m.cfg.Pushed && r.Watch != 0 {
+		pause := max(min(m.cfg.Settings.Rules.DrainGrace/4, pushedPause), pushedLeast)
+		m.deadlines.drop(m.again)
+		m.again = m.deadlines.set(m.now+pause, m.resubscribe)
+	}
+	m.handle(decide.ListReceived{Kind: r.Kind})
+}
+
 // Resolved brings a resolver result.
 func (m *Module) Resolved(r Result) { m.post(func() { m.resolved(r) }) }
 
 func (m *Module) resolved(r Result) {
 	if r.Kind == decide.ListFailed {
-		m.handle(decide.ListReceived{Kind: r.Kind})
+		m.failed(r)
 		return
 	}
 	if m.fetch != nil && r.Kind == decide.ListFull {
@@ -321,6 +351,7 @@
 		m.fetch = nil
 	}
 	m.listAt = m.now
+	left := map[*subchannel]bool{} // that want nothing new, or are another process from now on
 	if r.Kind == decide.ListFull {
 		m.counters.Lists++
 		listed := map[decide.ServerID]bool{}
@@ -330,6 +361,7 @@
 		for id, s := range m.subchannels {
 			if !listed[id] {
 				m.setGone(s)
+				left[s] = true
 			}
 		}
 	}
@@ -337,11 +369,13 @@
 	for _, in := range r.Instances {
 		s := m.subchannels[in.ID]
 		if s == nil {
-			s = &subchannel{load: -1}
+			s = &subchannel{load: -1, Subchannel: Subchannel{Address: in.Address}, started: in.Started}
 			m.subchannels[in.ID] = s
 		}
+		left[s] = in.State != decide.Ready || s.Address != in.Address || !s.started.Equal(in.Started)
 		s.Subchannel = Subchannel{ID: in.ID, Instance: in.Name, Address: in.Address}
-		s.zone, s.state = in.Zone, in.State
+		s.zone, s.started = in.Zone, in.Started
+		m.setState(s, in.State, r.Kind)
 		delete(m.departed, in.Name)
 		if in.State == decide.Gone {
 			m.setGone(s)
@@ -351,13 +385,40 @@
 		lines = append(lines, line)
 	}
 	m.handle(decide.ListReceived{Kind: r.Kind, Servers: lines})
+	m.recall(left)
 	if r.Kind != decide.ListRestored {
 		m.started()
 	}
 }
 
+// recall gives up the attempts that are on their way to room servers and not sent yet. Guards the grace of a drain: a
+// connection that comes up late would be a new send there.
+func (m *Module) recall(left map[*subchannel]bool) {
+	for c := range m.open {
+		if c.out && c.phase == pending && left[c.server] {
+			c.ch.GiveUp(c.n, decide.ConnectFailed)
+		}
+	}
+}
+
+// setState notes when a room server was told to take nothing new.
+func (m *Module) setState(s *subchannel, state decide.State, kind decide.ListKind) {
+	switch {
+	case state == decide.Ready:
+		s.told = 0
+	case s.state == decide.Ready && kind != decide.ListRestored:
+		s.told = m.now
+	}
+	s.state = state
+}
+
+// shut tells whether nothing may be sent to a room server any more.
+func (m *Module) shut(s *subchannel) bool {
+	return s.state == decide.Gone || s.told > 0 && m.now >= s.told+m.cfg.Settings.Rules.DrainGrace
+}
+
 func (m *Module) setGone(s *subchannel) {
-	s.state = decide.Gone
+	m.setState(s, decide.Gone, decide.ListChanges)
 	m.depart(s.Subchannel)
 	m.prober.Forget(s.ID)
 	m.dropGone(s)
--- a/internal/core/resume.go
+++ b/internal/core/resume.go
@@ -89,10 +89,8 @@
 func (m *Module) Later(c *Call, n int, after time.Duration) {
 	m.post(func() {
 		if c.out && c.n == n {
-			if most := m.cfg.Settings.MaxRetryAfter; after > most {
-				after = most // 0: clients are told none
-			}
-			c.refuse(after)
+			c.after = after
+			c.answerNow()
 		}
 	})
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -40,6 +40,9 @@
 // Ready is closed once this process has been ready to serve.
 func (m *Module) Ready() <-chan struct{} { return m.ready }
 
+// AwaitsList tells whether clients are to wait for the first list: where lists are pushed, what it says counts already.
+func (m *Module) AwaitsList() bool { return m.cfg.Pushed && m.Service() == Starting }
+
 // Begin ends the start without a fresh list: the process that this one was to take over from has ended.
 func (m *Module) Begin() { m.post(m.started) }
 
--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -9,6 +10,7 @@
 	"net/textproto"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,26 +37,30 @@
 
 	answered chan struct{} // closed with the final answer
 
-	first    firstLine
-	session  *session  // nil: the client asks for none
-	up       *upstream // the attempt that is out, or the server of a standing connection
-	stands   bool
-	left     bool        // the client has ended its side
-	asked    bool        // its first line was handed to the core,
-	heard    atomic.Bool // or has been read at least
-	awaiting atomic.Bool // the client sent something that is not answered yet
+	first   firstLine
+	session *session  // nil: the client asks for none
+	up      *upstream // the attempt that is out, or the server of a standing connection
+	stands  bool
+	left    bool        // the client has ended its side
+	asked   bool        // its first line was handed to the core,
+	heard   atomic.Bool // or has been read at least
+	early   atomic.Bool // so was more, before its answer
+
+	awaits   sync.Mutex // also held while the core is told, so that it hears both in the order in which they came
+	awaiting bool       // the client sent something that is not answered yet
 }
 
 // upstream is the connection of one call attempt.
 type upstream struct {
-	n       int
-	cancel  context.CancelFunc // ends the dial
-	conn    *net.TCPConn
-	text    *textproto.Conn
-	answer  string
-	wait    time.Duration // of the attempt
-	counted bool          // its first line is written
-	start   chan struct{} // closed when it stands
+	n      int
+	cancel context.CancelFunc // ends the dial
+	conn   *net.TCPConn
+	text   *textproto.Conn
+	answer string
+	told   bool          // the core was told that it stands
+	wait   time.Duration // of the attempt
+	sent   bool          // its first line is written
+	start  chan struct{} // closed when it stands
 }
 
 // order is what the core asks of a channel.
@@ -62,6 +68,7 @@
 	kind       orderKind
 	attempt    core.CallAttempt
 	n          int
+	code       decide.Code
 	retryAfter time.Duration
 	holder     core.Subchannel
 	known      bool
@@ -82,7 +89,8 @@
 	orderStartOver
 )
 
-// mailboxSize holds all orders that a call can have waiting: three attempts, their ends and the answer.
+// mailboxSize holds all orders that a call can have waiting, however many attempts the settings allow: the next one is
+// ordered when the end of the one before was told. Each has three reasons to be given up at most.
 const mailboxSize = 32
 
 // News of the readers.
@@ -119,11 +127,13 @@
 }
 
 func (c *channel) Attempt(a core.CallAttempt) { c.order(order{kind: orderAttempt, attempt: a}) }
-func (c *channel) GiveUp(n int)               { c.order(order{kind: orderGiveUp, n: n}) }
-func (c *channel) Stand(n int)                { c.order(order{kind: orderStand, n: n}) }
-func (c *channel) Fail()                      { c.order(order{kind: orderFail}) }
-func (c *channel) Move()                      { c.order(order{kind: orderMove}) }
-func (c *channel) Drop()                      { c.order(order{kind: orderDrop}) }
+func (c *channel) GiveUp(n int, why decide.Code) {
+	c.order(order{kind: orderGiveUp, n: n, code: why})
+}
+func (c *channel) Stand(n int) { c.order(order{kind: orderStand, n: n}) }
+func (c *channel) Fail()       { c.order(order{kind: orderFail}) }
+func (c *channel) Move()       { c.order(order{kind: orderMove}) }
+func (c *channel) Drop()       { c.order(order{kind: orderDrop}) }
 func (c *channel) Unavailable(retryAfter time.Duration) {
 	c.order(order{kind: orderUnavailable, retryAfter: retryAfter})
 }
@@ -169,9 +179,7 @@
 		c.dropCall()
 		c.dial(ctx, o.attempt)
 	case orderGiveUp:
-		if c.up != nil && c.up.n == o.n {
-			c.closeUp(false)
-		}
+		c.giveUp(o.n, o.code)
 	case orderStand:
 		return c.stand(o.n)
 	case orderUnavailable:
@@ -185,7 +193,7 @@
 	case orderStartOver:
 		return c.answer(resumeline.Anew(string(o.why)))
 	case orderHolder:
-		c.located(ctx, o)
+		return c.located(ctx, o)
 	case orderMove:
 		// Guards against an order that was under way when the room server ended the connection itself: as a drain
 		// sends all clients away, the module may move some of the same. What it ended is passed on already.
@@ -205,15 +213,22 @@
 
 // unread tells whether the kernel holds bytes that have come and were not read. It takes none.
 func unread(conn *net.TCPConn) bool {
+	n, err := peek(conn)
+	return err == nil && n > 0
+}
+
+// peek looks at what the kernel holds of a connection, without waiting: bytes, its end (0), or the error that it ended
+// with. EAGAIN: nothing.
+func peek(conn *net.TCPConn) (n int, err error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	n := 0
+	var failed error
 	err = raw.Control(func(fd uintptr) {
-		n, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT) // an error is no byte
+		n, _, failed = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && n > 0
+	return max(n, 0), cmp.Or(err, failed)
 }
 
 // hear takes news from the readers; false ends the actor.
@@ -229,13 +244,13 @@
 	case newsClientEnd:
 		return c.clientEnded(n.err)
 	case newsDialled:
-		c.dialled(n)
+		return c.dialled(n)
 	case newsReply:
-		c.replied(n)
+		return c.replied(n)
 	case newsHolder:
-		c.exported(n)
+		return c.exported(n)
 	case newsCommit:
-		c.committed(n)
+		return c.committed(n)
 	case newsServerEnd:
 		return c.serverEnded(n)
 	}
@@ -266,6 +281,9 @@
 // reopenWithin is how long a connection that was open before the start may take to stand again.
 const reopenWithin = 40 * time.Second
 
+// restWithin is how long the rest of a line may take that a move found half read.
+const restWithin = 300 * time.Millisecond
+
 // moveWithin is how long a client may take to accept its MOVE.
 const moveWithin = 500 * time.Millisecond
 
@@ -294,27 +312,28 @@
 	})
 }
 
-func (c *channel) dialled(n newsDialled) {
+func (c *channel) dialled(n newsDialled) bool {
 	if n.up != c.up {
 		c.front.close(n.conn)
-		return
+		return true
 	}
 	if n.err != nil {
 		c.endAttempt(decide.ConnectFailed, decide.NoReport)
-		return
+		return true
 	}
 	up := c.up
 	up.conn = n.conn.(*net.TCPConn)
 	up.text = textproto.NewConn(up.conn)
 	resumes := c.session != nil && c.session.flow != nil
 	if resumes {
-		c.resumes()
-	} else {
-		if err := up.text.PrintfLine("%s", c.firstLine(up.wait)); err != nil {
-			c.endAttempt(decide.ConnectFailed, decide.NoReport)
-			return
+		if !c.resumes() {
+			return false
 		}
-		c.front.module.Connected(c.call, up.n)
+	} else if !c.sendFirst() {
+		return false
+	}
+	if c.up != up || !resumes && !up.sent {
+		return true
 	}
 	c.front.readers.Go(func() {
 		for {
@@ -330,39 +349,99 @@
 		case <-c.done:
 		}
 	})
+	return true
+}
+
+// sendFirst writes the attempt's first line, which is what the attempt counts from; false ends the actor. Guards clients
+// that have left while their request waited, anywhere: what they asked for is not sent on, and a client that has sent
+// more is answered by the core.
+func (c *channel) sendFirst() bool {
+	up := c.up
+	if up.sent {
+		return true
+	}
+	if left, more := c.clientState(); left {
+		return false
+	} else if more {
+		c.front.module.Malformed(c.call)
+		return true
+	}
+	if err := up.text.PrintfLine("%s", c.firstLine(up.wait)); err != nil {
+		c.endAttempt(decide.ConnectFailed, decide.NoReport)
+		return true
+	}
+	up.sent = true
+	c.front.module.Connected(c.call, up.n)
+	return true
 }
 
-func (c *channel) replied(n newsReply) {
+// clientState tells whether a client that waits has left, or has sent more. It asks the kernel: on a busy machine the
+// reader's news may lie behind the order that is carried out.
+func (c *channel) clientState() (left, more bool) {
+	n, err := peek(c.client)
+	if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
+		return false, c.early.Load()
+	}
+	return err != nil || n == 0, n > 0
+}
+
+// giveUp ends the attempt that is out, where it can be told what became of it: this actor writes its line and takes its
+// answer, so that neither can cross the end.
+func (c *channel) giveUp(n int, why decide.Code) {
+	switch up := c.up; {
+	case up == nil || up.n != n || up.told: // its end, or its answer, is told already
+	case !up.sent:
+		c.endAttempt(decide.ConnectFailed, decide.NoReport)
+	case why != decide.ConnectFailed: // else its line was written as the time-out of its dial fell due
+		c.endAttempt(why, decide.NoReport)
+	}
+}
+
+func (c *channel) replied(n newsReply) bool {
 	if n.up != c.up {
-		return
+		return true
 	}
 	if errors.Is(n.err, textline.ErrLong) || errors.Is(n.err, textline.ErrBare) {
 		c.endAttempt(decide.ServerError, decide.NoReport)
-		return
+		return true
 	}
 	if n.err != nil {
-		c.endAttempt(decide.Reset, decide.NoReport)
-		return
+		c.endAttempt(c.broken(), decide.NoReport)
+		return true
 	}
 	r := parseReply(n.line)
 	if c.session != nil && c.session.flow != nil {
 		if r.up {
 			c.up.answer = n.line
-			c.step(c.session.flow.Up())
-			return
+			return c.step(c.session.flow.Up())
 		}
-		if c.said(n.line) {
-			return
+		if known, more := c.said(n.line); known {
+			return more
 		}
 	}
 	if !r.up {
 		c.endAttempt(r.code, r.report)
-		return
+		return true
 	}
 	c.up.answer = n.line
+	c.isUp()
+	return true
+}
+
+// isUp tells the core that the attempt has its answer.
+func (c *channel) isUp() {
+	c.up.told = true
 	c.front.module.Up(c.call, c.up.n)
 }
 
+// broken is what became of an attempt whose connection broke: it may have run once its line was written.
+func (c *channel) broken() decide.Code {
+	if c.up.sent {
+		return decide.Reset
+	}
+	return decide.ConnectFailed
+}
+
 // endAttempt closes the attempt's connection before the core hears that it ended.
 func (c *channel) endAttempt(code decide.Code, report decide.Report) {
 	n := c.up.n
@@ -450,6 +529,7 @@
 		c.tell(newsClientEnd{err})
 		return
 	}
+	c.early.Store(true)
 	c.tell(newsEarly{})
 	select {
 	case up := <-c.relay:
@@ -496,9 +576,7 @@
 		if _, err := c.text.R.Peek(1); err != nil {
 			return err
 		}
-		if c.awaiting.CompareAndSwap(false, true) {
-			c.front.module.Awaiting(c.call) // before the bytes go out: no answer can come sooner
-		}
+		c.await(true) // before the bytes go out: no answer can come sooner
 		raw, _ := c.text.R.Peek(c.text.R.Buffered())
 		if _, err := up.conn.Write(raw); err != nil {
 			return nil // the server's reader tells how that side ended
@@ -507,6 +585,38 @@
 	}
 }
 
+// readPiece reads a line, or as much of one as the buffer holds. A move that finds a line half read waits for the rest,
+// but not long: the client gets it whole, or nothing of it.
+func readPiece(up *upstream) ([]byte, error) {
+	raw, err := up.text.R.ReadSlice('\n')
+	if len(raw) == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return raw, err
+	}
+	begun := bytes.Clone(raw)
+	up.conn.SetReadDeadline(time.Now().Add(restWithin))
+	raw, err = up.text.R.ReadSlice('\n')
+	if err != nil {
+		return nil, os.ErrDeadlineExceeded
+	}
+	up.conn.SetReadDeadline(time.Unix(1, 0))
+	return append(begun, raw...), nil
+}
+
+// await tells the core that the client's bytes await an answer, or that one has come.
+func (c *channel) await(yes bool) {
+	c.awaits.Lock()
+	defer c.awaits.Unlock()
+	if c.awaiting == yes {
+		return
+	}
+	c.awaiting = yes
+	if yes {
+		c.front.module.Awaiting(c.call)
+	} else {
+		c.front.module.Answered(c.call)
+	}
+}
+
 // relayDown passes the server's lines on, whole, so that MOVE can come between two of them.
 func (c *channel) relayDown(up *upstream) {
 	code := decide.Reset
@@ -514,10 +624,16 @@
 	if c.session != nil {
 		tokens = &c.session.kept
 	}
+	ended := false // the room server has said that it ends the connection
 	for whole := true; ; {
-		raw, err := up.text.R.ReadSlice('\n')
+		raw, err := readPiece(up)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.tell(newsServerEnd{decide.Cancelled, err})
+			if ended {
+				err = io.EOF // the client was told already: MOVE would come after the end
+			} else {
+				code = decide.Cancelled
+			}
+			c.tell(newsServerEnd{code, err})
 			return
 		}
 		if len(raw) > 0 {
@@ -527,13 +643,11 @@
 					c.front.module.Load(c.call, load)
 				}
 			case "BYE":
-				code = decide.OK
+				code, ended = decide.OK, true
 			case "MOVE":
-				code = decide.Cancelled
-			}
-			if c.awaiting.CompareAndSwap(true, false) {
-				c.front.module.Answered(c.call)
+				code, ended = decide.Cancelled, true
 			}
+			c.await(false)
 			if begins := whole; tokens != nil {
 				whole = raw[len(raw)-1] == '\n'
 				if begins && whole {
--- a/internal/line/front.go
+++ b/internal/line/front.go
@@ -16,6 +16,7 @@
 	"cottonplank/internal/handover"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 )
 
 var bufferFull = bufio.ErrBufferFull
@@ -98,12 +99,25 @@
 	}
 }
 
+// Waits tells whether clients wait to be accepted, where they wait for this process alone.
+func (f *Front) Waits(l *net.TCPListener) bool {
+	raw, err := l.SyscallConn()
+	if err != nil || f.succeeded.Load() {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) // an error is nobody
+	})
+	return err == nil && n > 0
+}
+
 // Succeeded tells whether another process serves at the clients' address.
 func (f *Front) Succeeded(yes bool) { f.succeeded.Store(yes) }
 
 // pong answers the front layer's PING. Once clients are to go elsewhere the answer is any other than PONG.
 func (f *Front) pong() string {
-	if s := f.module.Service(); s == core.LameDuck || s == core.Stopping && !f.succeeded.Load() {
+	if s := f.module.Service(); s == core.LameDuck || f.module.AwaitsList() || s == core.Stopping && !f.succeeded.Load() {
 		return "BUSY"
 	}
 	return "PONG"
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -101,9 +101,9 @@
 
 type noList struct{}
 
-func (noList) Subscribe(context.Context) {}
-func (noList) FetchList(context.Context) {}
-func (noList) Move(string)               {}
+func (noList) Subscribe(context.Context, uint64) {}
+func (noList) FetchList(context.Context)         {}
+func (noList) Move(string)                       {}
 
 type noProbes struct{}
 
@@ -629,7 +629,7 @@
 	old := b.client(t)
 	old.send(opening())
 	old.want("UP receipt-1\r\n")
-	over := b.module.Drain(3400 * time.Millisecond)
+	over := b.module.Drain(3400*time.Millisecond, nil)
 	late := b.client(t)
 	late.send(opening())
 	late.want("UP receipt-1\r\n")
@@ -718,7 +718,7 @@
 	b.front.Reserve(12) // all but four: the channel, its dial, and one that is accepted
 	b.pause.Hold()
 	b.front.Succeeded(true)
-	b.module.Drain(20 * time.Second)
+	b.module.Drain(20*time.Second, nil)
 	accepted.send("PING\r\n")
 	accepted.want("PONG\r\n")
 	accepted.send(opening())
@@ -764,7 +764,7 @@
 	other.want("UP r\r\n")
 	// Nor does it hold up a planned stop: the drain and all actors end.
 	select {
-	case <-b.module.Drain(3 * time.Second):
+	case <-b.module.Drain(3*time.Second, nil):
 	case <-time.After(20 * time.Second):
 		t.Fatal("the drain does not end")
 	}
--- a/internal/line/resume.go
+++ b/internal/line/resume.go
@@ -154,13 +154,13 @@
 func (c *channel) StartOver(why core.Reason) { c.order(order{kind: orderStartOver, why: why}) }
 
 // resumes begins an attempt of a session that goes on: its connection is up.
-func (c *channel) resumes() {
+func (c *channel) resumes() bool {
 	c.front.module.Dialled(c.call, c.up.n)
-	c.step(c.session.flow.Attempt(c.session.at.Instance))
+	return c.step(c.session.flow.Attempt(c.session.at.Instance))
 }
 
-// step makes the flow's next step.
-func (c *channel) step(s resume.Step) {
+// step makes the flow's next step; false ends the actor.
+func (c *channel) step(s resume.Step) bool {
 	f, m := c.session.flow, c.front.module
 	switch s {
 	case resume.Locate:
@@ -170,11 +170,11 @@
 		if s == resume.OpenMove {
 			c.session.open = resumeline.Open{Mode: resumeline.Move, Ref: f.Next, Position: f.Pos, Size: len(f.State)}
 		}
-		c.say(c.firstLine(c.up.wait))
-		if !c.up.counted {
-			c.up.counted = true
-			m.Connected(c.call, c.up.n)
+		if c.up.sent {
+			c.say(c.firstLine(c.up.wait))
+			return true
 		}
+		return c.sendFirst()
 	case resume.SendState:
 		// The room server may take its time to read; the actor does not wait, and what fails shows at the reader.
 		up, state := c.up, f.State
@@ -190,26 +190,26 @@
 		c.closeHolder()
 		c.say(resumeline.Go)
 	case resume.Stand:
-		m.Up(c.call, c.up.n)
+		c.isUp()
 	case resume.StartOver:
 		m.StartOver(c.call, c.up.n, core.Reason(f.Why.String()))
 	case resume.Later:
 		m.Later(c.call, c.up.n, f.After)
 	}
+	return true
 }
 
 // say writes a line to the attempt's room server; that it cannot shows at the reader.
 func (c *channel) say(line string) { c.up.text.PrintfLine("%s", line) }
 
 // located goes on once the core has told where the state is.
-func (c *channel) located(ctx context.Context, o order) {
+func (c *channel) located(ctx context.Context, o order) bool {
 	if c.up == nil || c.up.n != o.n {
-		return
+		return true
 	}
 	f := c.session.flow
 	if s := f.Located(o.known); s != resume.Export {
-		c.step(s)
-		return
+		return c.step(s)
 	}
 	c.closeHolder()
 	ctx, cancel := context.WithCancel(ctx)
@@ -222,6 +222,7 @@
 		answer, err := c.export(ctx, h, o.holder.Address, call)
 		return newsHolder{h, answer, err}
 	})
+	return true
 }
 
 // ask makes a call on a holder's connection beside the actor, which gets both back with the news.
@@ -294,45 +295,43 @@
 }
 
 // exported goes on with the answer to EXPORT.
-func (c *channel) exported(n newsHolder) {
+func (c *channel) exported(n newsHolder) bool {
 	n.h.out = false
 	if c.session.holder != n.h {
 		c.release(n.h)
-		return
+		return true
 	}
 	if c.up == nil {
 		c.closeHolder() // the attempt has ended meanwhile, the next one asks again
-		return
+		return true
 	}
 	if n.err != nil {
 		c.closeHolder()
-		c.step(c.session.flow.HolderLost())
-		return
+		return c.step(c.session.flow.HolderLost())
 	}
 	if n.answer.Verdict == ledger.Granted {
 		c.front.module.Fetched(c.call, c.up.n)
 	} else {
 		c.closeHolder()
 	}
-	c.step(c.session.flow.HolderSaid(n.answer))
+	return c.step(c.session.flow.HolderSaid(n.answer))
 }
 
 // committed goes on with the answer to COMMIT.
-func (c *channel) committed(n newsCommit) {
+func (c *channel) committed(n newsCommit) bool {
 	n.h.out = false
 	if c.session.holder != n.h {
 		c.release(n.h)
-		return
+		return true
 	}
 	c.closeHolder()
 	if c.up == nil {
-		return // the next attempt asks what became of it
+		return true // the next attempt asks what became of it
 	}
 	if n.err != nil {
-		c.step(c.session.flow.HolderLost())
-		return
+		return c.step(c.session.flow.HolderLost())
 	}
-	c.step(c.session.flow.Committed(n.yes))
+	return c.step(c.session.flow.Committed(n.yes))
 }
 
 // closeHolder ends the claim, if there is one that was not committed. While its call is out, the news bring it back.
@@ -369,24 +368,22 @@
 	}
 }
 
-// said takes a line that a room server answers to a session that goes on; false: it is none of these.
-func (c *channel) said(line string) bool {
+// said takes a line that a room server answers to a session that goes on; known is false where it is none of these, more
+// is what step tells.
+func (c *channel) said(line string) (known, more bool) {
 	f := c.session.flow
 	var epoch, position uint64
 	if line == resumeline.Ready {
-		c.step(f.Ready())
-		return true
+		return true, c.step(f.Ready())
 	}
 	if resumeline.Parse(line, "HELD", &epoch, &position) {
-		c.step(f.Held(epoch, position))
-		return true
+		return true, c.step(f.Held(epoch, position))
 	}
 	a, _, ok := resumeline.ParseAnswer(line, f.Ref.Session)
 	if !ok || a.Verdict == ledger.Granted || c.session.open.Mode != resumeline.Back {
-		return false
+		return false, true
 	}
-	c.step(f.HolderSaid(a))
-	return true
+	return true, c.step(f.HolderSaid(a))
 }
 
 // keeps prepares a connection that stands for tokens.
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -21,7 +21,7 @@
 
 func (nothing) Probe(context.Context, uint64, core.Subchannel) {}
 func (nothing) Forget(decide.ServerID)                         {}
-func (nothing) Subscribe(context.Context)                      {}
+func (nothing) Subscribe(context.Context, uint64)              {}
 func (nothing) FetchList(context.Context)                      {}
 func (nothing) Move(string)                                    {}
 
--- a/internal/quic/flow.go
+++ b/internal/quic/flow.go
@@ -100,11 +100,13 @@
 }
 
 func (fl *flow) Attempt(a core.CallAttempt) { fl.order(func() { fl.attempt(a) }) }
-func (fl *flow) GiveUp(n int)               { fl.order(func() { fl.closeUp() }) }
-func (fl *flow) Stand(n int)                { fl.order(func() { fl.stand(n) }) }
-func (fl *flow) Move()                      { fl.order(fl.move) }
-func (fl *flow) Drop()                      { fl.order(func() { fl.over = true }) }
-func (fl *flow) Fail()                      { fl.order(func() { fl.answer(internalError, "") }) }
+func (fl *flow) GiveUp(n int, why decide.Code) {
+	fl.order(func() { fl.giveUp(n, why) })
+}
+func (fl *flow) Stand(n int) { fl.order(func() { fl.stand(n) }) }
+func (fl *flow) Move()       { fl.order(fl.move) }
+func (fl *flow) Drop()       { fl.order(func() { fl.over = true }) }
+func (fl *flow) Fail()       { fl.order(func() { fl.answer(internalError, "") }) }
 func (fl *flow) Unavailable(retryAfter time.Duration) {
 	fl.order(func() { fl.answer(connectionRefused, retryReason(retryAfter)) })
 }
@@ -304,6 +306,13 @@
 	fl.over = true
 }
 
+// giveUp ends an attempt that has no answer. What was sent when it began cannot be taken back for want of a connection.
+func (fl *flow) giveUp(n int, why decide.Code) {
+	if fl.up != nil && fl.up.n == n && !fl.isUp && why != decide.ConnectFailed {
+		fl.endAttempt(why)
+	}
+}
+
 // stand lets the room server's first answer through, and all that follows.
 func (fl *flow) stand(n int) {
 	if fl.up == nil || fl.up.n != n {
--- a/internal/quic/standin_test.go
+++ b/internal/quic/standin_test.go
@@ -284,9 +284,9 @@
 // noList and noProbes stand in for discovery and for the line front's probes.
 type noList struct{}
 
-func (noList) Subscribe(context.Context) {}
-func (noList) FetchList(context.Context) {}
-func (noList) Move(string)               {}
+func (noList) Subscribe(context.Context, uint64) {}
+func (noList) FetchList(context.Context)         {}
+func (noList) Move(string)                       {}
 
 type noProbes struct{}
 
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -1,10 +1,11 @@
 package resolver
 
 import (
-	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -24,7 +25,7 @@
 // Sink takes what the resolver learns.
 type Sink interface {
 	Resolved(core.Result)
-	ListAlive()
+	ListAlive(watch uint64)
 }
 
 // Resolver is the list's actor.
@@ -53,6 +54,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	watch  bool
+	id     uint64 // the core's number of a watch
 	number int
 	url    string
 	era    int
@@ -90,7 +92,9 @@
 }
 
 // Subscribe asks for what has changed and for all changes from then on.
-func (r *Resolver) Subscribe(ctx context.Context) { r.order(call{ctx: ctx, watch: true}) }
+func (r *Resolver) Subscribe(ctx context.Context, watch uint64) {
+	r.order(call{ctx: ctx, watch: true, id: watch})
+}
 
 // FetchList asks for the whole list once.
 func (r *Resolver) FetchList(ctx context.Context) { r.order(call{ctx: ctx}) }
@@ -157,7 +161,7 @@
 	}
 	if n.err != nil {
 		r.log.WithError(n.err).Warn("discovery: call failed")
-		r.sink.Resolved(core.Result{Kind: decide.ListFailed})
+		r.sink.Resolved(core.Result{Kind: decide.ListFailed, Watch: n.call.id})
 		return
 	}
 	if n.call.watch {
@@ -165,7 +169,7 @@
 			r.endWatch()
 			r.watching, r.endWatch = n.call.number, n.call.cancel
 		}
-		r.sink.ListAlive()
+		r.sink.ListAlive(n.call.id)
 	}
 	l := n.listing
 	if l == nil {
@@ -198,10 +202,10 @@
 	}
 	var err error
 	if !c.watch || c.whole {
-		err = r.read(c, c.url, heard)
+		err = r.read(c, c.url, 1, heard)
 	}
 	if err == nil && c.watch {
-		if err = r.read(c, c.url+"?watch=1&from="+strconv.FormatInt(from, 10), heard); err == nil {
+		if err = r.read(c, c.url+"?watch=1&from="+strconv.FormatInt(from, 10), 0, heard); err == nil {
 			err = errors.New("watch ended")
 		}
 	}
@@ -217,8 +221,8 @@
 	}
 }
 
-// read makes one HTTP call and hands on each line of its answer: a list, or nil for an empty line.
-func (r *Resolver) read(c call, url string, heard func(*Listing)) error {
+// read makes one HTTP call and hands on so many lists of its answer, 0: all, and nil for each empty line.
+func (r *Resolver) read(c call, url string, most int, heard func(*Listing)) error {
 	req, err := http.NewRequestWithContext(c.ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return fmt.Errorf("list request: %w", err)
@@ -231,23 +235,68 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("list call: status %d", resp.StatusCode)
 	}
-	in := bufio.NewScanner(resp.Body)
-	in.Buffer(make([]byte, 0, 4096), maxList)
-	for in.Scan() {
-		if len(in.Bytes()) == 0 {
-			heard(nil)
-			continue
+	// Lists are values in a stream, however they are broken into lines. Guards against garbage, half a value and one
+	// that never ends: the old list stands and the call ends, for a later value would take the version past the change
+	// that could not be read. The module asks again.
+	in := &stream{from: resp.Body, blank: true, empty: func() { heard(nil) }}
+	values := json.NewDecoder(in)
+	for n := 1; ; n++ {
+		var raw json.RawMessage
+		if err := values.Decode(&raw); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("list answer: %w", err)
 		}
-		l, err := Decode(in.Bytes())
+		l, err := Decode(raw)
 		if err != nil {
-			// Guards against garbage: the old list stands and the call ends here, for a later line would take
-			// the version past the change that could not be read. The module asks again.
 			return fmt.Errorf("list answer: %w", err)
 		}
 		heard(&l)
+		if n == most {
+			return nil
+		}
+		in.next(values.Buffered())
+	}
+}
+
+// stream is what a call reads its values from. It hears of the empty lines between two values, and bounds each.
+type stream struct {
+	from  io.Reader
+	empty func()
+	size  int  // of what came since the last value
+	begun bool // of a value something has come
+	blank bool // so has the end of a line, and nothing on the next
+}
+
+func (s *stream) Read(p []byte) (int, error) {
+	n, err := s.from.Read(p)
+	if s.size+n > maxList {
+		return 0, fmt.Errorf("a value is longer than %d bytes", maxList)
 	}
-	if err := in.Err(); err != nil {
-		return fmt.Errorf("list answer: %w", err)
+	s.see(p[:n])
+	return n, err
+}
+
+func (s *stream) see(raw []byte) {
+	s.size += len(raw)
+	for _, c := range raw {
+		switch {
+		case s.begun:
+			return
+		case c == '\n' && s.blank:
+			s.empty()
+			s.size = 0
+		case c == '\n':
+			s.blank = true
+		case c != ' ' && c != '\t' && c != '\r':
+			s.begun = true
+		}
 	}
-	return nil
+}
+
+// next begins a value; of what follows the last one something may have been read already. It ends in its own line.
+func (s *stream) next(read io.Reader) {
+	s.size, s.begun, s.blank = 0, false, false
+	raw, _ := io.ReadAll(read) // of the memory
+	s.see(raw)
 }
--- a/internal/resolver/resolver_test.go
+++ b/internal/resolver/resolver_test.go
@@ -46,7 +46,7 @@
 type sink struct{ results chan core.Result }
 
 func (s *sink) Resolved(r core.Result) { s.results <- r }
-func (s *sink) ListAlive()             {}
+func (s *sink) ListAlive(uint64)       {}
 
 func (s *sink) want(t *testing.T, kind decide.ListKind, lines int) {
 	t.Helper()
@@ -101,7 +101,7 @@
 	defer cancel()
 	r.FetchList(ctx)
 	s.want(t, decide.ListFull, 1)
-	r.Subscribe(ctx)
+	r.Subscribe(ctx, 1)
 	if got := <-from; got != "41" {
 		t.Errorf("watch from %s", got)
 	}
@@ -114,7 +114,7 @@
 	s.want(t, decide.ListChanges, 0)
 	more <- `garbage` // the watch ends there, and the next one asks from the last version that was read
 	s.want(t, decide.ListFailed, 0)
-	r.Subscribe(ctx)
+	r.Subscribe(ctx, 1)
 	if got := <-from; got != "43" {
 		t.Errorf("watch after garbage from %s", got)
 	}
@@ -139,7 +139,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r.Subscribe(ctx)
+	r.Subscribe(ctx, 1)
 	s.want(t, decide.ListFull, 1)
 	asked, answer := make(chan string, 10), make(chan struct{})
 	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -153,7 +153,7 @@
 	}))
 	t.Cleanup(func() { next.CloseClientConnections(); next.Close() })
 	r.Move(strings.TrimPrefix(next.URL, "http://"))
-	r.Subscribe(ctx)
+	r.Subscribe(ctx, 1)
 	if got := <-asked; got != "" {
 		t.Errorf("the first call at the new address asks for %q, want the whole list", got)
 	}
@@ -192,7 +192,7 @@
 			r, s := discovery(t, answer)
 			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 			defer cancel()
-			r.Subscribe(ctx)
+			r.Subscribe(ctx, 1)
 			s.want(t, decide.ListFailed, 0)
 			r.FetchList(ctx)
 			s.want(t, decide.ListFailed, 0)
--- a/internal/roomfile/roomfile.go
+++ b/internal/roomfile/roomfile.go
@@ -30,7 +30,7 @@
 // Sink takes what the actor learns.
 type Sink interface {
 	Resolved(core.Result)
-	ListAlive()
+	ListAlive(watch uint64)
 }
 
 // Source is the actor.
@@ -39,13 +39,13 @@
 	sink   Sink
 	log    *logrus.Logger
 	turns  core.Turns // nil: nobody hears
-	orders chan context.Context
+	orders chan order
 	offers chan roomlist.List
 
 	// Owned by Run's goroutine.
 	keeper *roomlist.Keeper
-	watch  context.Context // of the core's subscription; nil: none
-	failed string          // what was said of the file last
+	watch  order  // the latest
+	failed string // what was said of the file last
 }
 
 // Read reads the file; errors name it and what is wrong in it.
@@ -84,7 +84,7 @@
 
 // New returns the actor of a file, with the list that was read from it.
 func New(path string, first roomlist.List, sink Sink, log *logrus.Logger) *Source {
-	return &Source{path: path, sink: sink, log: log, keeper: roomlist.NewKeeper(first), orders: make(chan context.Context, orderSize),
+	return &Source{path: path, sink: sink, log: log, keeper: roomlist.NewKeeper(first), orders: make(chan order, orderSize),
 		offers: make(chan roomlist.List)}
 }
 
@@ -95,14 +95,20 @@
 func (s *Source) Move(string) {}
 
 // Subscribe answers with the list in force, and from then on with its changes.
-func (s *Source) Subscribe(ctx context.Context) { s.order(ctx) }
+func (s *Source) Subscribe(ctx context.Context, watch uint64) { s.order(order{ctx, watch}) }
 
 // FetchList answers with the list in force.
-func (s *Source) FetchList(ctx context.Context) { s.order(ctx) }
+func (s *Source) FetchList(ctx context.Context) { s.order(order{ctx, 0}) }
 
-func (s *Source) order(ctx context.Context) {
+// order is a call of the core's.
+type order struct {
+	ctx   context.Context
+	watch uint64 // its number; 0: the list alone is asked for
+}
+
+func (s *Source) order(o order) {
 	select {
-	case s.orders <- ctx:
+	case s.orders <- o:
 	default: // the module's actor never waits, and asks again
 	}
 }
@@ -139,9 +145,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case order := <-s.orders:
+		case o := <-s.orders:
 			core.Turn(s.turns, func() {
-				s.watch = order
+				if o.watch != 0 {
+					s.watch = o
+					s.sink.ListAlive(o.watch)
+				}
 				s.sink.Resolved(core.Result{Kind: decide.ListFull, Instances: Instances(s.keeper.Current())})
 			})
 		case l := <-s.offers:
@@ -160,8 +169,8 @@
 		case <-look.C:
 			core.Turn(s.turns, s.read)
 		case <-alive.C:
-			if s.watch != nil && s.watch.Err() == nil {
-				core.Turn(s.turns, s.sink.ListAlive)
+			if s.watch.ctx != nil && s.watch.ctx.Err() == nil {
+				core.Turn(s.turns, func() { s.sink.ListAlive(s.watch.watch) })
 			}
 		}
 	}
--- a/internal/roomfile/roomfile_test.go
+++ b/internal/roomfile/roomfile_test.go
@@ -39,7 +39,7 @@
 	s.names, s.lists = strings.Join(names, " "), s.lists+1
 }
 
-func (s *sink) ListAlive() {
+func (s *sink) ListAlive(uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.alive++
@@ -94,7 +94,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { s.Run(ctx) })
 	t.Cleanup(func() { cancel(); running.Wait() })
-	s.Subscribe(ctx)
+	s.Subscribe(ctx, 1)
 	return s, got
 }
 
--- a/internal/supervise/actors_test.go
+++ b/internal/supervise/actors_test.go
@@ -26,7 +26,7 @@
 
 func (nothing) Probe(context.Context, uint64, core.Subchannel) {}
 func (nothing) Forget(decide.ServerID)                         {}
-func (nothing) Subscribe(context.Context)                      {}
+func (nothing) Subscribe(context.Context, uint64)              {}
 func (nothing) FetchList(context.Context)                      {}
 func (nothing) Move(string)                                    {}
 
@@ -38,7 +38,7 @@
 
 func (b blocks) Forget(decide.ServerID) { <-b.released }
 func (b blocks) Resolved(core.Result)   { <-b.released }
-func (b blocks) ListAlive()             { <-b.released }
+func (b blocks) ListAlive(uint64)       { <-b.released }
 
 const limit = 100 * time.Millisecond
 
