Test the crossings on real sockets, each forced, and keep windows and spoilt BUSY strict

Two more faults that TestEffects found, from the room server's socket to the client's, seven effects by eleven ends: - "keyed, over before a dial can: answered UP, want BUSY": a repeat was placed within its class's window and could be written after it, when its dial was up. decide.allowed counts the connect time-out in. - "unsafe/spoilt: answered UP, want ERR": BUSY with bytes that no room server writes counted as proof that nothing ran, and the request was placed again. reply.go takes BUSY and UP in a room server's form alone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -323,7 +323,7 @@
 	switch {
 	case r.ran == nil || c.Repeat == Safe:
 		return true
-	case c.Repeat == Unsafe || b.now >= r.ranAt+c.Window:
+	case c.Repeat == Unsafe || b.now+b.set.ConnectTimeout >= r.ranAt+c.Window: // sent once dialled
 		return false
 	}
 	return c.Scope == ScopeAll || s.Zone == r.ran.Zone && (c.Scope == ScopeZone || s.Cell == r.ran.Cell)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -522,3 +522,94 @@
 		t.Errorf("after its end: %+v", s.Subchannels)
 	}
 }
+
+// answering runs a module whose lists a test gives.
+func answering(t *testing.T, cfg Config) (*Module, *fakeServers) {
+	t.Helper()
+	cfg.MaxChannels, cfg.Log = 10, func(string) {}
+	cfg.Settings.Seed, cfg.Settings.Zone, cfg.Settings.MaxTries = 3, "a", 3
+	cfg.Settings.Classes = []decide.Class{{Name: "c", Aim: 300 * time.Millisecond, GiveUp: time.Second}}
+	m, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fakeServers{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { m.Run(ctx, f, f) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return m, f
+}
+
+// watches waits until so many watches were asked for.
+func (f *fakeServers) watches(t *testing.T, n int) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		got := len(f.watch)
+		f.mu.Unlock()
+		if got >= n {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d watches were asked for, want %d", got, n)
+		}
+	}
+}
+
+// A watch that has fallen silent is opened anew, beside it, well before what it misses counts as told: 6 s after. A sign of
+// life of another watch is none of the one that was asked for, which ends without an answer.
+func TestSilentWatch(t *testing.T) {
+	t.Parallel()
+	m, f := answering(t, Config{})
+	m.Rediscover("127.0.0.1:1")
+	f.watches(t, 1)
+	m.ListAlive(1)
+	silent := time.Now()
+	f.watches(t, 2)
+	if d := time.Since(silent); d < 2*time.Second || d > 5*time.Second {
+		t.Errorf("asked for anew after %v, an empty line comes every 2 s", d)
+	}
+	m.ListAlive(1) // the old one comes back to life, the new one does not answer
+	f.mu.Lock()
+	asked := f.watch[1]
+	f.mu.Unlock()
+	select {
+	case <-asked.Done():
+	case <-time.After(20 * time.Second):
+		t.Error("the watch that was asked for and never answers does not end")
+	}
+	settled(m)
+	m.Resolved(Result{Kind: decide.ListFailed, Watch: 2})
+	m.ListAlive(1) // and falls silent once more
+	f.watches(t, 3)
+}
+
+// Where lists are pushed, what discovery has counts from the first moment: no front takes the process in before it has a list,
+// and a watch that broke is back within the grace.
+func TestPushedLists(t *testing.T) {
+	t.Parallel()
+	const grace = 400 * time.Millisecond
+	m, f := answering(t, Config{Pushed: true, Settings: decide.Settings{Subscribe: true, Rules: decide.Rules{DrainGrace: grace}}})
+	f.watches(t, 1)
+	if !m.AwaitsList() {
+		t.Error("a process without its first list is taken in")
+	}
+	m.Resolved(Result{Kind: decide.ListFailed, Watch: 1})
+	failed := time.Now()
+	f.watches(t, 2)
+	if d := time.Since(failed); d > grace {
+		t.Errorf("asked for anew after %v, the grace is %v", d, grace)
+	}
+	m.ListAlive(2)
+	m.Resolved(Result{Kind: decide.ListFull, Instances: []Instance{instance("s-1")}})
+	if settled(m); m.AwaitsList() {
+		t.Error("a process with its first list is not taken in")
+	}
+	m.Resolved(Result{Kind: decide.ListFailed, Watch: 2})
+	failed = time.Now()
+	f.watches(t, 3)
+	if d := time.Since(failed); d > grace {
+		t.Errorf("asked for anew after %v, the grace is %v", d, grace)
+	}
+}
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -114,6 +114,7 @@
 	module *core.Module
 	front  *Front
 	pause  *handover.Pause
+	l      *net.TCPListener
 	addr   string
 	stop   func()
 }
@@ -124,6 +125,12 @@
 }
 
 func budgeted(t *testing.T, budget Budget, servers ...*answerer) *balancer {
+	t.Helper()
+	return with(t, budget, func(*decide.Settings) {}, servers...)
+}
+
+// with is a balancer whose settings differ from the usual ones.
+func with(t *testing.T, budget Budget, differ func(*decide.Settings), servers ...*answerer) *balancer {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -131,10 +138,12 @@
 	for _, s := range servers {
 		known = append(known, s.instance())
 	}
-	module, err := core.New(core.Config{Known: known, MaxChannels: 100, Log: func(string) {}, Settings: decide.Settings{
+	settings := decide.Settings{
 		Seed: 5, Zone: "a", MaxTries: 3, MaxRetryAfter: 1500 * time.Millisecond,
 		Classes: []decide.Class{{Name: "solo-play", Aim: 300 * time.Millisecond, GiveUp: 2 * time.Second}},
-		Rules:   decide.Rules{DrainGrace: 500 * time.Millisecond, ColdShare: 0.3, Cold: time.Second, FallMultiple: 4, Fall: time.Second}}})
+		Rules:   decide.Rules{DrainGrace: 500 * time.Millisecond, ColdShare: 0.3, Cold: time.Second, FallMultiple: 4, Fall: time.Second}}
+	differ(&settings)
+	module, err := core.New(core.Config{Known: known, MaxChannels: 100, Log: func(string) {}, Settings: settings})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -147,7 +156,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { module.Run(ctx, noProbes{}, noList{}) })
 	running.Go(func() { front.Serve(ctx, l, pause) })
-	b := &balancer{module: module, front: front, pause: pause, addr: l.Addr().String()}
+	b := &balancer{module: module, front: front, pause: pause, l: l, addr: l.Addr().String()}
 	b.stop = sync.OnceFunc(func() { cancel(); running.Wait() })
 	t.Cleanup(b.stop)
 	return b
--- a/internal/line/reply.go
+++ b/internal/line/reply.go
@@ -20,17 +20,35 @@
 	word, rest, _ := strings.Cut(line, " ")
 	switch word {
 	case "UP":
-		if rest != "" {
+		if isToken(rest) {
 			return reply{up: true, report: decide.NoReport}
 		}
 	case "BUSY":
-		return reply{code: decide.Full, report: parseReport(rest)}
+		// Guards against a spoilt answer: BUSY proves that nothing ran, so it counts in a room server's form alone.
+		if rest == "" || isReport(rest) {
+			return reply{code: decide.Full, report: parseReport(rest)}
+		}
 	case "MOVE":
 		return reply{code: decide.Cancelled, report: decide.NoReport}
 	}
 	return reply{code: decide.ServerError, report: parseReport(rest)}
 }
 
+// isToken tells whether a text is one word of printable characters.
+func isToken(text string) bool {
+	return text != "" && strings.IndexFunc(text, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
+}
+
+// isReport tells whether a text has the form of a load report, whatever its values.
+func isReport(text string) bool {
+	for pair := range strings.SplitSeq(text, ",") {
+		if name, value, _ := strings.Cut(pair, "="); !isToken(name) || !isToken(value) {
+			return false
+		}
+	}
+	return true
+}
+
 // parseReport reads a load report, `inflight=7,x0=0.61`; absent and odd values count as not told.
 func parseReport(text string) decide.Report {
 	report := decide.NoReport
--- a/internal/resolver/resolver_test.go
+++ b/internal/resolver/resolver_test.go
@@ -43,10 +43,13 @@
 }
 
 // sink keeps what comes.
-type sink struct{ results chan core.Result }
+type sink struct {
+	results chan core.Result
+	alive   chan uint64 // nil: nobody looks
+}
 
 func (s *sink) Resolved(r core.Result) { s.results <- r }
-func (s *sink) ListAlive(uint64)       {}
+func (s *sink) ListAlive(watch uint64) { s.alive <- watch }
 
 func (s *sink) want(t *testing.T, kind decide.ListKind, lines int) {
 	t.Helper()
@@ -64,7 +67,7 @@
 func discovery(t *testing.T, answer http.HandlerFunc) (*Resolver, *sink) {
 	t.Helper()
 	server := httptest.NewServer(answer)
-	s := &sink{make(chan core.Result, 10)}
+	s := &sink{results: make(chan core.Result, 10), alive: make(chan uint64, 100)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r := New(strings.TrimPrefix(server.URL, "http://"), 40, s, log)
@@ -199,3 +202,101 @@
 		})
 	}
 }
+
+// A list may be broken into lines and pieces in any way; empty lines between two are signs of life, those within one and
+// half a list are none. Each piece is sent when what the one before it brings has come.
+func TestListsInPieces(t *testing.T) {
+	indented := strings.NewReplacer(`{"`, "{\n  \"", `,"`, ",\r\n\r\n\t\"", `[{`, "[\n{", `}]`, "}\n]").Replace(list)
+	changes := strings.Replace(strings.Replace(list, "41", "42", 1), "true", "false", 1)
+	pieces := make(chan string)
+	r, s := discovery(t, func(w http.ResponseWriter, req *http.Request) {
+		for text := range pieces {
+			io.WriteString(w, text)
+			w.(http.Flusher).Flush()
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.Subscribe(ctx, 7)
+	alive := func(times int) {
+		t.Helper()
+		for range times {
+			select {
+			case watch := <-s.alive:
+				if watch != 7 {
+					t.Fatalf("watch %d is alive, want 7", watch)
+				}
+			case <-time.After(10 * time.Second):
+				t.Fatal("no sign of life")
+			}
+		}
+		if len(s.alive) > 0 {
+			t.Fatal("one sign of life too many")
+		}
+	}
+	pieces <- "\r\n"
+	alive(1)
+	for _, text := range strings.SplitAfter(indented, "\n") {
+		pieces <- text
+	}
+	s.want(t, decide.ListFull, 1)
+	alive(1)
+	pieces <- "\r\n\r\n"
+	alive(1)
+	pieces <- changes + changes + "\n\n" + changes[:40]
+	s.want(t, decide.ListChanges, 1)
+	s.want(t, decide.ListChanges, 1)
+	alive(3)
+	pieces <- changes[40:] + "\n"
+	s.want(t, decide.ListChanges, 1)
+	alive(1)
+	pieces <- changes[:len(changes)-1] + "\n\n\n"
+	close(pieces) // half a list, and the end
+	s.want(t, decide.ListFailed, 0)
+	alive(0)
+}
+
+// Values that never end: they end the call, at a bound or where they break the form.
+func TestEndlessLists(t *testing.T) {
+	for name, more := range map[string]string{
+		"blanks": strings.Repeat(" ", 4096), "a text": strings.Repeat("x", 4096), "empty lines": strings.Repeat("\n", 4096),
+		"entries": "\n{" + entry[1:] + ",", "lists in a list": list + "\n" + list,
+	} {
+		t.Run(name, func(t *testing.T) {
+			head := list[:strings.Index(list, "[")+1]
+			if name == "a text" {
+				head = `{"generation":41,"name":"`
+			}
+			r, s := discovery(t, func(w http.ResponseWriter, req *http.Request) {
+				io.WriteString(w, head)
+				for {
+					if _, err := io.WriteString(w, more); err != nil {
+						return
+					}
+				}
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			r.Subscribe(ctx, 1)
+			s.want(t, decide.ListFailed, 0)
+			if len(s.alive) > 0 {
+				t.Error("it counts as alive")
+			}
+		})
+	}
+}
+
+// Discovery that was started anew counts its versions from the beginning: the whole list that it gives counts.
+func TestALowerVersion(t *testing.T) {
+	r, s := discovery(t, func(w http.ResponseWriter, req *http.Request) {
+		io.WriteString(w, strings.Replace(list, "41", "3", 1)+"\n")
+		w.(http.Flusher).Flush()
+		<-req.Context().Done()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.Subscribe(ctx, 1)
+	s.want(t, decide.ListFull, 1)
+	r.FetchList(ctx)
+	s.want(t, decide.ListFull, 1)
+}
