Take the gap to other zones from the price of crossing, and refuse others' lessons

The loads (roomy, full, moves) stay: settings tell no figure that they could be taken from.

What was learned of room servers was passed on whatever the settings of the next process were: each line names its customer now (zone, zones, classes with effects), and another one's are left out with one line in the log. TestLearnedOfAnotherCustomer.

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -111,7 +111,7 @@
 	marks := &supervise.Marks{}
 	cfg.Share(predecessor != nil).Apply()
 	module, err := core.New(core.Config{Settings: cfg.Settings, Known: cfg.Known, MaxChannels: cfg.MaxChannels,
-		AwaitList: predecessor != nil, Pushed: cfg.Pushed, StateWait: stateWait(fronts.Resume), Turns: marks.New("module"), Learned: learned(predecessor, log), Log: func(text string) { log.Info(text) }})
+		AwaitList: predecessor != nil, Pushed: cfg.Pushed, StateWait: stateWait(fronts.Resume), Turns: marks.New("module"), Learned: learned(predecessor, core.Customer(cfg.Settings), log), Log: func(text string) { log.Info(text) }})
 	if err != nil {
 		return err
 	}
--- a/cmd/cottonplank/succession.go
+++ b/cmd/cottonplank/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"cottonplank/decide"
@@ -97,12 +98,16 @@
 const learnedWait = 400 * time.Millisecond
 
 // learned reads what a predecessor has learned of the room servers. A line that cannot be read is left out.
-func learned(predecessor *handover.Predecessor, log *logrus.Logger) (all []decide.Learned) {
+func learned(predecessor *handover.Predecessor, customer string, log *logrus.Logger) (all []decide.Learned) {
 	if predecessor == nil {
 		return nil
 	}
 	for _, line := range predecessor.Learned {
-		l, err := core.DecodeLearned(line)
+		l, err := core.DecodeLearned(line, customer)
+		if errors.Is(err, core.ErrOther) {
+			log.Warn("hand-over: what the process before has learned is left out: it has other settings, or an earlier version")
+			return nil
+		}
 		if err != nil {
 			log.WithError(err).Warn("hand-over: a line is left out")
 			continue
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,7 +43,6 @@
 // Loads are over capacity, as servers report them.
 const (
 	roomyLoad  = 0.7  // under this a server has room; when none has, other zones come in
-	spillGap   = 0.2  // where a server must be lighter by this, for crossing has its price
 	fullLoad   = 0.8  // above this a server gets nothing new
 	hiddenLoad = 0.1  // less for room, and half of it for full, as others place what no report shows yet
 	moveLoad   = 0.95 // above this, or moveTarget when its messages are slow, it loses connections,
@@ -291,7 +290,7 @@
 	// So they do where no server of the zone is fit, as when its only one fails: guards against blind turns.
 	if best != nil || slices.ContainsFunc(b.pool, b.over) || !slices.ContainsFunc(b.local, fit) {
 		b.spillAt = b.now
-		better := func(s *server) bool { return room(s) && (best == nil || s.load < best.load-spillGap) }
+		better := func(s *server) bool { return room(s) && (best == nil || s.load < best.load-b.gap) }
 		s := cmp.Or(lightest(b.away, better), best)
 		if s != nil || slices.ContainsFunc(b.pool, b.over) {
 			return s
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -434,15 +434,17 @@
 
 func TestSpillOnlyToAMuchLighterServer(t *testing.T) {
 	for _, c := range []struct {
-		away float64
-		want ServerID
-	}{{0.6, 1}, {0.5, 101}} {
-		w := newWorld(t, settings())
+		price, away float64
+		want        ServerID
+	}{{0.16, 0.6, 1}, {0.16, 0.5, 101}, {0.32, 0.5, 1}, {0.32, 0.3, 101}, {0.08, 0.66, 1}, {0.08, 0.6, 101}} {
+		set := settings()
+		set.Prices.CrossZone = c.price
+		w := newWorld(t, set)
 		w.full(servers(1, 1))
 		w.report(1, 0.75)
 		w.report(101, c.away)
 		if s := w.placed(w.ask("r", safe)); s != c.want {
-			t.Fatalf("own zone at 0.75, the other at %.1f: went to %d", c.away, s)
+			t.Fatalf("price %.2f, own zone at 0.75, the other at %.2f: went to %d", c.price, c.away, s)
 		}
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -106,6 +106,7 @@
 	window              float64       // how many of these may be
 	cutAt               time.Duration // when it was last halved
 	roomy, full         float64       // loads, as the number of balancers makes them
+	gap                 float64       // in load, by which another zone's server must be lighter than the own zone's best
 	loads               []float64     // usual load of each class, learnt, and last of any; 0: unknown
 }
 
@@ -123,6 +124,7 @@
 	}
 	// A report shows what the others of the zone have placed half a second late; own placements are booked at once.
 	hidden := hiddenLoad * (1 - 1/b.peers())
+	b.gap = gapPrice * set.Prices.CrossZone
 	b.roomy, b.full = roomyLoad-hidden, fullLoad-hidden/2
 	return b, nil
 }
@@ -186,6 +188,10 @@
 	s.State = state
 }
 
+// gapPrice makes a load of the price of crossing, which is in parts of a request's worth: a server that is lighter by so much has
+// to serve better by as much as crossing costs, and a quarter more for the doubt in the two reports.
+const gapPrice = 1.25
+
 // shareLeast is how many connections a report must show to tell the load of one.
 const shareLeast = 4
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"go/build"
 	"slices"
@@ -613,3 +615,32 @@
 		t.Errorf("asked for anew after %v, the grace is %v", d, grace)
 	}
 }
+
+// What was learned under another customer's settings is refused: what a connection loads a server with there, say. A seed,
+// or a figure that may be tuned from one version to the next, makes no other customer.
+func TestLearnedOfAnotherCustomer(t *testing.T) {
+	mine := decide.Settings{Seed: 1, Zone: "a", Zones: []string{"a", "b"}, Classes: []decide.Class{{Name: "c"}, {Name: "d"}}}
+	line, err := json.Marshal(learned{decide.Learned{Server: 1, Each: 0.3}, Customer(mine)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := mine
+	again.Seed, again.MaxTries = 2, 5
+	if l, err := DecodeLearned(string(line), Customer(again)); err != nil || l.Each != 0.3 {
+		t.Errorf("%+v, %v", l, err)
+	}
+	for name, differ := range map[string]func(*decide.Settings){
+		"zone":    func(s *decide.Settings) { s.Zone = "b" },
+		"classes": func(s *decide.Settings) { s.Classes = []decide.Class{{Name: "d"}, {Name: "c"}} },
+		"effect":  func(s *decide.Settings) { s.Classes = []decide.Class{{Name: "c", Repeat: decide.Unsafe}, {Name: "d"}} },
+	} {
+		other := mine
+		differ(&other)
+		if _, err := DecodeLearned(string(line), Customer(other)); !errors.Is(err, ErrOther) {
+			t.Errorf("other %s: %v", name, err)
+		}
+	}
+	if _, err := DecodeLearned(`{"server":1,"each":0.3}`, Customer(mine)); !errors.Is(err, ErrOther) {
+		t.Errorf("of nobody: %v", err)
+	}
+}
--- a/internal/core/fuzz_test.go
+++ b/internal/core/fuzz_test.go
@@ -12,13 +12,13 @@
 // Whatever another process tells as learned, the decision module stays sound: loads are none below 0, and no server is
 // left out for long.
 func FuzzLearned(f *testing.F) {
-	line, err := json.Marshal(decide.Learned{Server: 1, Load: 0.4, Age: time.Second, Each: 0.1, Streak: 2, Out: time.Second})
+	line, err := json.Marshal(learned{decide.Learned{Server: 1, Load: 0.4, Age: time.Second, Each: 0.1, Streak: 2, Out: time.Second}, "c1"})
 	if err != nil {
 		f.Fatal(err)
 	}
 	seedcorpus.Add(f, line)
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		l, err := DecodeLearned(string(raw))
+		l, err := DecodeLearned(string(raw), "c1")
 		if err != nil {
 			return
 		}
