Blame no room server for a recalled dial, and test a stop whose room server hangs

From reading the change again: a dial that was recalled since its room server came back anew, or elsewhere, ended as ConnectFailed, which leaves the server out for 4 s. It ends as Moot, "never sent" (TestRecallBlamesNobody, seen to fail with ConnectFailed: 1 left out). A health check's PING that lay unread as a stop might be over kept the process until its budget: the channel was looked at once. TestStopDoesNotWaitForHealthChecks fails without the mend (the second order never comes).

--- a/cmd/cottonplank/upgrade_test.go
+++ b/cmd/cottonplank/upgrade_test.go
@@ -188,8 +188,13 @@
 
 func (d *deployment) opens(p player) {
 	d.t.Helper()
+	d.says(p, d.opening(), "UP receipt")
+}
+
+// opening is a first line with a new id, without its end.
+func (d *deployment) opening() string {
 	d.ids++
-	d.says(p, fmt.Sprintf("OPEN %016x 7f3a9c21e0b4d655 c=solo-play,d=2000", d.ids), "UP receipt")
+	return fmt.Sprintf("OPEN %016x 7f3a9c21e0b4d655 c=solo-play,d=2000", d.ids)
 }
 
 func (d *deployment) says(p player, text, want string) {
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -93,12 +93,13 @@
 // again may stay; one that asked once, or many times at a stroke, is dropped as one that said nothing.
 func (m *Module) Pinged(c *Call) {
 	m.post(func() {
-		c.pinged, c.begun = true, false // what had begun to come was that
+		c.pinged, c.begun, c.dropped = true, false, false // what had begun to come, or lay unread, was that
 		if c.phase == accepted && m.now-c.since >= pingApart {
 			c.since = m.now
 			m.deadlines.drop(c.end)
 			c.end = m.deadlines.set(m.now+firstLineWait, c.ch.Drop)
 		}
+		m.drained()
 	})
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,8 +19,8 @@
 	// closed before anything of the new one is sent.
 	Attempt(CallAttempt)
 	// GiveUp asks for the end of a call attempt that has no answer. The channel alone knows what it has written, so it
-	// decides what became of the attempt and tells it with Module.Ended, once: ConnectFailed where nothing was sent,
-	// else why. One that has its answer, or whose line is sent while why is ConnectFailed, goes on.
+	// decides what became of the attempt and tells it with Module.Ended, once: that it never ran where nothing was sent,
+	// else why. One that has its answer, or whose line is sent while why says that it never ran, goes on.
 	GiveUp(n int, why decide.Code)
 	// Stand passes the room server's answer of attempt n to the client and relays from then on.
 	Stand(n int)
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -396,7 +396,7 @@
 func (m *Module) recall(left map[*subchannel]bool) {
 	for c := range m.open {
 		if c.out && c.phase == pending && left[c.server] {
-			c.ch.GiveUp(c.n, decide.ConnectFailed)
+			c.ch.GiveUp(c.n, decide.Moot) // no room server is to blame
 		}
 	}
 }
--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -390,9 +390,10 @@
 func (c *channel) giveUp(n int, why decide.Code) {
 	switch up := c.up; {
 	case up == nil || up.n != n || up.told: // its end, or its answer, is told already
-	case !up.sent:
+	case up.sent && why.NeverRan(): // its line was written as the time-out of its dial fell due: it goes on
+	case !up.sent && !why.NeverRan():
 		c.endAttempt(decide.ConnectFailed, decide.NoReport)
-	case why != decide.ConnectFailed: // else its line was written as the time-out of its dial fell due
+	default:
 		c.endAttempt(why, decide.NoReport)
 	}
 }
--- a/internal/line/crossings_test.go
+++ b/internal/line/crossings_test.go
@@ -181,6 +181,26 @@
 	}
 }
 
+// Room servers that come back elsewhere as a dial to one is on its way are not to blame for it.
+func TestRecallBlamesNobody(t *testing.T) {
+	t.Parallel()
+	s1, s2 := newServer(t, "s-1", echo), newServer(t, "s-2", echo)
+	b := newBalancer(t, s1, s2)
+	h := b.byHand(t)
+	dialled := h.requests()
+	for _, s := range []*answerer{s1, s2} {
+		r := s.as(decide.Ready)
+		r.Instances[0].Started = time.Now()
+		b.module.Resolved(r)
+	}
+	o, _ := h.ordered()
+	h.obey(t.Context(), o)
+	h.hear(dialled)
+	if n := b.module.Fresh(20 * time.Second).Avoided; n > 0 {
+		t.Errorf("%d room servers are left out", n)
+	}
+}
+
 // So it is with a list that leaves a room server out.
 func TestDialIsRecalledByAWholeList(t *testing.T) {
 	t.Parallel()
@@ -534,6 +554,26 @@
 	h.client.want("UP receipt-1\r\n")
 }
 
+// What lies unread as the stop might be over is a health check's question: it is answered, and holds the stop up no longer.
+func TestStopDoesNotWaitForHealthChecks(t *testing.T) {
+	t.Parallel()
+	b := newBalancer(t)
+	h := b.byHand(t)
+	h.client.send("PING\r\n")
+	until(t, "the line", func() bool { return unread(h.channel.client) })
+	over := b.module.Drain(20*time.Second, nil)
+	if !h.obey(t.Context(), <-h.orders) {
+		t.Fatal("a line that has come is dropped")
+	}
+	h.front.readers.Go(h.readClient)
+	h.client.want("BUSY\r\n")
+	if h.obey(t.Context(), <-h.orders) {
+		t.Fatal("a health check that was answered stays")
+	}
+	b.module.Closed(h.call)
+	<-over
+}
+
 // A move finds a line half read: the client gets it whole, then MOVE. One that follows the room server's own end sends none.
 func TestMoveBetweenTwoLines(t *testing.T) {
 	t.Parallel()
--- a/internal/quic/flow.go
+++ b/internal/quic/flow.go
@@ -308,7 +308,7 @@
 
 // giveUp ends an attempt that has no answer. What was sent when it began cannot be taken back for want of a connection.
 func (fl *flow) giveUp(n int, why decide.Code) {
-	if fl.up != nil && fl.up.n == n && !fl.isUp && why != decide.ConnectFailed {
+	if fl.up != nil && fl.up.n == n && !fl.isUp && !why.NeverRan() {
 		fl.endAttempt(why)
 	}
 }
