--- a/cmd/cottonplank/stop_test.go
+++ b/cmd/cottonplank/stop_test.go
@@ -12,30 +12,14 @@
 
 // hangingRoom is a stand-in room server that takes a first line and says nothing; told gets a word for each.
 func hangingRoom(t *testing.T) (address string, told chan struct{}) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	told = make(chan struct{}, 100)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				if _, err := r.ReadString('\n'); err == nil {
-					told <- struct{}{}
-				}
-				io.Copy(io.Discard, r)
-			}()
+	return serves(t, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		if _, err := r.ReadString('\n'); err == nil {
+			told <- struct{}{}
 		}
-	}()
-	return l.Addr().String(), told
+		io.Copy(io.Discard, r)
+	}), told
 }
 
 // A process is told to end while its room server hangs with every request: each client has its one answer and then the
--- a/cmd/cottonplank/upgrade_test.go
+++ b/cmd/cottonplank/upgrade_test.go
@@ -21,8 +21,8 @@
 // soon bounds what a test waits for, so that none hangs.
 const soon = 20 * time.Second
 
-// room is a stand-in room server that lets connections stand and answers each line.
-func room(t *testing.T) string {
+// serves is a stand-in that treats each connection.
+func serves(t *testing.T, treat func(net.Conn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -37,22 +37,29 @@
 			}
 			go func() {
 				defer conn.Close()
-				for r := bufio.NewReader(conn); ; {
-					text, err := r.ReadString('\n')
-					if err != nil {
-						return
-					}
-					if strings.HasPrefix(text, "OPEN ") {
-						text = "UP receipt\r\n"
-					}
-					io.WriteString(conn, text)
-				}
+				treat(conn)
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// room is a stand-in room server that lets connections stand and answers each line.
+func room(t *testing.T) string {
+	return serves(t, func(conn net.Conn) {
+		for r := bufio.NewReader(conn); ; {
+			text, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if strings.HasPrefix(text, "OPEN ") {
+				text = "UP receipt\r\n"
+			}
+			io.WriteString(conn, text)
+		}
+	})
+}
+
 // deployment is what the processes of one test share.
 type deployment struct {
 	t      *testing.T
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -38,8 +38,9 @@
 	if m.await(within, func() { told <- m.balancer.Learned() }) != nil {
 		return nil
 	}
+	mine := Customer(m.cfg.Settings)
 	for _, l := range <-told {
-		if raw, err := json.Marshal(learned{l, Customer(m.cfg.Settings)}); err == nil {
+		if raw, err := json.Marshal(learned{l, mine}); err == nil {
 			lines = append(lines, string(raw))
 		}
 	}
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -312,10 +312,7 @@
 // ListAlive tells that a watch shows a sign of life.
 func (m *Module) ListAlive(watch uint64) {
 	m.post(func() {
-		if m.asked != nil && m.asked.watch == watch {
-			m.deadlines.drop(m.asked.due)
-			m.asked = nil
-		}
+		m.told(watch)
 		// Guards against a watch that has fallen silent: what it misses is found by one that is opened beside it.
 		m.deadlines.drop(m.again)
 		m.deadlines.drop(m.silent)
@@ -323,13 +320,18 @@
 	})
 }
 
-// failed tells the decision module that a call failed, which asks again after a pause. Where lists are pushed that is
-// too long: what discovery has counts at once, so that the watch has to be back before the grace is over.
-func (m *Module) failed(r Result) {
-	if m.asked != nil && m.asked.watch == r.Watch {
+// told ends the wait for a watch that was asked for: it has come, or has failed.
+func (m *Module) told(watch uint64) {
+	if m.asked != nil && m.asked.watch == watch {
 		m.deadlines.drop(m.asked.due)
 		m.asked = nil
 	}
+}
+
+// failed tells the decision module that a call failed, which asks again after a pause. Where lists are pushed that is
+// too long: what discovery has counts at once, so that the watch has to be back before the grace is over.
+func (m *Module) failed(r Result) {
+	m.told(r.Watch)
 	if m.cfg.Pushed && r.Watch != 0 {
 		pause := max(min(m.cfg.Settings.Rules.DrainGrace/4, pushedPause), pushedLeast)
 		m.deadlines.drop(m.again)
--- a/internal/line/channel.go
+++ b/internal/line/channel.go
@@ -357,9 +357,6 @@
 // more is answered by the core.
 func (c *channel) sendFirst() bool {
 	up := c.up
-	if up.sent {
-		return true
-	}
 	if left, more := c.clientState(); left {
 		return false
 	} else if more {
--- a/internal/line/crossings_test.go
+++ b/internal/line/crossings_test.go
@@ -76,6 +76,26 @@
 // sync waits until the core has done what it was told before.
 func (b *balancer) sync() { b.module.Fresh(20 * time.Second) }
 
+// waiting is a client whose request the core has, and cannot send on.
+func (b *balancer) waiting(t *testing.T) *client {
+	t.Helper()
+	c := b.client(t)
+	c.send(opening())
+	until(t, "the request", func() bool { return b.module.Fresh(20*time.Second).Waiting == 1 })
+	return c
+}
+
+// unaccepted is a client whose request lies in the listener's backlog, until the pause is over.
+func (b *balancer) unaccepted(t *testing.T) *client {
+	t.Helper()
+	b.sync()
+	b.pause.Hold()
+	until(t, "the pause", func() bool { return len(b.front.held) == 0 })
+	c := b.client(t)
+	c.send(opening())
+	return c
+}
+
 // until waits for what is sure to come.
 func until(t *testing.T, what string, is func() bool) {
 	t.Helper()
@@ -149,15 +169,16 @@
 	h.client.want("UP receipt-1\r\n")
 }
 
-// A room server is told to drain, is gone, or comes back elsewhere or anew, while a dial to it is on its way: nothing is
-// sent there, and the request goes elsewhere at once.
+// A room server is told to drain, is gone, is left out of a whole list, or comes back elsewhere or anew, while a dial to it
+// is on its way: nothing is sent there, and the request goes elsewhere at once.
 func TestDialIsRecalled(t *testing.T) {
 	t.Parallel()
-	elsewhere := func(in *core.Instance) { in.Address = "127.0.0.1:1" }
-	anew := func(in *core.Instance) { in.Started = time.Now() }
-	for name, change := range map[string]func(*core.Instance){
-		"draining": func(in *core.Instance) { in.State = decide.Draining }, "gone": func(in *core.Instance) { in.State = decide.Gone },
-		"elsewhere": elsewhere, "anew": anew,
+	for name, change := range map[string]func(*core.Result){
+		"draining":  func(r *core.Result) { r.Instances[0].State = decide.Draining },
+		"gone":      func(r *core.Result) { r.Instances[0].State = decide.Gone },
+		"elsewhere": func(r *core.Result) { r.Instances[0].Address = "127.0.0.1:1" },
+		"anew":      func(r *core.Result) { r.Instances[0].Started = time.Now() },
+		"left out":  func(r *core.Result) { r.Kind, r.Instances = decide.ListFull, nil },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -166,7 +187,7 @@
 			h := b.byHand(t)
 			dialled := h.requests()
 			r := s1.as(decide.Ready)
-			change(&r.Instances[0])
+			change(&r)
 			b.module.Resolved(r)
 			b.module.Resolved(s2.as(decide.Ready))
 			if o, any := h.ordered(); any {
@@ -201,26 +222,6 @@
 	}
 }
 
-// So it is with a list that leaves a room server out.
-func TestDialIsRecalledByAWholeList(t *testing.T) {
-	t.Parallel()
-	s1, s2 := newServer(t, "s-1", echo), newServer(t, "s-2", echo)
-	b := newBalancer(t, s1)
-	h := b.byHand(t)
-	dialled := h.requests()
-	r := s2.as(decide.Ready)
-	r.Kind = decide.ListFull
-	b.module.Resolved(r)
-	if o, any := h.ordered(); any {
-		h.obey(t.Context(), o)
-	}
-	h.hear(dialled)
-	h.hear(h.attempts())
-	if n := len(s1.lines()); n > 0 {
-		t.Errorf("%d lines went to the room server that left", n)
-	}
-}
-
 // A connection that was open before the start is not opened at a room server past its grace, and one within it not later
 // than its end.
 func TestReopeningEndsWithTheGrace(t *testing.T) {
@@ -323,9 +324,7 @@
 		t.Run("for a room server/"+name, func(t *testing.T) {
 			t.Parallel()
 			b := newBalancer(t)
-			c := b.client(t)
-			c.send(opening())
-			until(t, "the request", func() bool { return b.module.Fresh(20*time.Second).Waiting == 1 })
+			c := b.waiting(t)
 			end(c, reset)
 			gone(t, b)
 			s := newServer(t, "s-1", echo)
@@ -340,9 +339,7 @@
 			for range cap(b.front.held) - 1 { // it waits for a client with its own; none is left for the dial
 				b.front.held <- struct{}{}
 			}
-			c := b.client(t)
-			c.send(opening())
-			until(t, "the request", func() bool { return b.module.Fresh(20*time.Second).Waiting == 1 })
+			c := b.waiting(t)
 			end(c, reset)
 			gone(t, b)
 			for len(b.front.held) > 1 {
@@ -370,11 +367,7 @@
 			t.Parallel()
 			s := newServer(t, "s-1", echo)
 			b := newBalancer(t, s)
-			b.sync()
-			b.pause.Hold()
-			until(t, "the pause", func() bool { return len(b.front.held) == 0 })
-			c := b.client(t)
-			c.send(opening())
+			c := b.unaccepted(t)
 			end(c, reset)
 			b.pause.Resume()
 			until(t, "the client's end", func() bool { s := b.module.Fresh(20 * time.Second); return s.Open == 0 && len(b.front.held) == 1 })
@@ -495,11 +488,7 @@
 	t.Parallel()
 	s := newServer(t, "s-1", echo)
 	b := newBalancer(t, s)
-	b.sync()
-	b.pause.Hold()
-	until(t, "the pause", func() bool { return len(b.front.held) == 0 })
-	c := b.client(t)
-	c.send(opening())
+	c := b.unaccepted(t)
 	looked := make(chan bool, 1000)
 	over := b.module.Drain(20*time.Second, func() bool {
 		waits := b.front.Waits(b.l)
