Pace a cold server by what came for it, so that storms of one group no longer fell it

Cause, by counting what came for each cold server in the storm: the groups of a room server that drops its connections have the same next home, so that a cold one there gets three times the mean of the zone, by which each module took its part.

Each module now counts the requests that come for each cold server. The zone's mean is a prior worth five requests; the part of arrivals that broken connections account for is judged by that count alone. A weaker prior (3) leaves the cold servers of a quiet fleet idle: TestColdServersAreUsedByMany fails at 80 modules.

The reference of TestChoicesAreThoseOfTheOldWay walks the same law without the index.

--- a/decide/cold.go
+++ b/decide/cold.go
@@ -8,6 +8,24 @@
 	"time"
 )
 
+// priorDemand is how many requests the zone's mean counts as, where it estimates what comes for one cold server. A smaller one
+// leaves the cold servers of a quiet fleet idle, since each module sees few requests and remembers that one of them came.
+const priorDemand = 5
+
+// fadingCount counts events; each is forgotten over needTime.
+type fadingCount struct {
+	count float64
+	at    time.Duration // of the latest event
+}
+
+func (c *fadingCount) value(now time.Duration) float64 {
+	return c.count * math.Exp(-(now-c.at).Seconds()/needTime.Seconds())
+}
+
+func (c *fadingCount) add(now time.Duration) {
+	c.count, c.at = c.value(now)+1, now
+}
+
 // lifeTime is the memory of how long connections stand.
 const lifeTime = 10 * time.Minute
 
@@ -51,6 +69,29 @@
 	return b.need / needTime.Seconds() * span.Seconds() / float64(max(spread, 1))
 }
 
+// countDemand counts a request of a group in the demand for a cold server at home to it, once.
+func (b *Balancer) countDemand(r *request, s *server) {
+	if b.grouped(r) && r.cameFor != s {
+		r.cameFor = s
+		s.demand.add(b.now)
+	}
+}
+
+// comesFor is how many of this balancer's requests come for the cold server s within a span, at least the mean of the zone's
+// servers. That mean is the prior, and what came for s corrects it. When connections break, their groups all come for the same
+// next servers, of which the mean says nothing: the larger the part of them in what comes, the more counts what came for s alone.
+func (b *Balancer) comesFor(r *request, s *server, span time.Duration) float64 {
+	mean := b.comes(r, span)
+	if !b.grouped(r) || mean == 0 {
+		return mean
+	}
+	window := needTime.Seconds() / span.Seconds() // in spans
+	came := s.demand.value(b.now)
+	usual := (priorDemand + came) / (priorDemand/mean + window)
+	storm := min(1, 2*b.broken/b.need) // a broken connection counts twice in need: when it breaks, and when it comes again
+	return max(mean, storm*came/window+(1-storm)*usual)
+}
+
 // sharers is how many balancers share the zone: as told, within what its servers hold over what this one does, give or
 // take what that is by chance. Guards against a fleet that has grown, or shrunk, since it was told its size.
 func (b *Balancer) sharers() float64 {
--- a/decide/cold_fleet_test.go
+++ b/decide/cold_fleet_test.go
@@ -522,9 +522,9 @@
 	}
 }
 
-// Connections that stand five times as long as the usual life, and a storm soon after the start, as three of fifteen room servers drop
-// all that they hold: ten seeds, none chosen. It fails at some (KNOWN-RED.txt): the second homes of large groups get three times the
-// requests that a module takes for the mean.
+// Connections that stand five times as long as the usual life, and a storm soon after the start, as three of fifteen room
+// servers drop all that they hold: ten seeds, none chosen. The groups of a server that drops its connections come for the same
+// next servers, so that a cold one among them gets three times the mean of the zone.
 func TestColdServersUnderAStormOfLongLives(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(10) {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -364,12 +364,13 @@
 	if !b.cold(s) || s.Zone != b.set.Zone {
 		return !b.cold(s) // its budget is shared out among the balancers of its own zone
 	}
+	b.countDemand(r, s)
 	rules := b.set.Rules
 	if b.now >= s.creditUntil {
 		age := float64(b.now-s.Started) / float64(rules.Cold)
 		part := rules.ColdShare + (1-rules.ColdShare)*age
 		span := max(rules.Fall, tick)
-		comes, sharers := b.comes(r, span), b.sharers()
+		comes, sharers := b.comesFor(r, s, span), b.sharers()
 		work := max(part*b.takes()*span.Seconds(), coldLeast/max(float64(b.set.Balancers), sharers))
 		use := comes / (1 + comes) // the part of such times in which one comes for it
 		mine := coldSafety / max(use, coldUseLeast) * rules.FallMultiple * work
--- a/decide/reference_test.go
+++ b/decide/reference_test.go
@@ -27,6 +27,7 @@
 	slow        time.Duration
 	credit      float64
 	creditUntil time.Duration
+	demand      fadingCount
 	booked      []refBooking
 	movedAt     time.Duration
 	conns       []*refRequest
@@ -44,6 +45,7 @@
 	out      bool
 	stands   bool
 	tooMuch  bool
+	cameFor  *refServer
 	homes    []*refServer
 	away     []*refServer
 	ranked   uint64
@@ -90,7 +92,7 @@
 	rate, rateSpan, new float64
 	capacity            float64
 	capSpan             float64
-	need                float64
+	need, broken        float64
 	lived, left         float64
 	setup               time.Duration
 	dialing             int
@@ -370,6 +372,7 @@
 func (b *refBalancer) remember(r *refRequest, code Code) {
 	if code == Reset || r.tooMuch {
 		b.need++
+		b.broken++
 	} else {
 		b.left++
 	}
@@ -422,6 +425,7 @@
 	fade := 1 - step/fadeTime.Seconds()
 	b.new, b.wasted, b.stood = 0, b.wasted*fade, b.stood*fade
 	b.need *= 1 - step/needTime.Seconds()
+	b.broken *= 1 - step/needTime.Seconds()
 	b.learnLife()
 	b.learnCapacity()
 }
@@ -750,12 +754,16 @@
 	if !b.cold(s) || s.Zone != b.set.Zone {
 		return !b.cold(s)
 	}
+	if b.grouped(r) && r.cameFor != s {
+		r.cameFor = s
+		s.demand.add(b.now)
+	}
 	rules := b.set.Rules
 	if b.now >= s.creditUntil {
 		age := float64(b.now-s.Started) / float64(rules.Cold)
 		part := rules.ColdShare + (1-rules.ColdShare)*age
 		span := max(rules.Fall, tick)
-		comes, sharers := b.comes(r, span), b.sharers()
+		comes, sharers := b.comesFor(r, s, span), b.sharers()
 		work := max(part*b.takes()*span.Seconds(), coldLeast/max(float64(b.set.Balancers), sharers))
 		use := comes / (1 + comes)
 		mine := coldSafety / max(use, coldUseLeast) * rules.FallMultiple * work
@@ -806,6 +814,18 @@
 	return b.need / needTime.Seconds() * span.Seconds() / float64(max(spread, 1))
 }
 
+func (b *refBalancer) comesFor(r *refRequest, s *refServer, span time.Duration) float64 {
+	mean := b.comes(r, span)
+	if !b.grouped(r) || mean == 0 {
+		return mean
+	}
+	window := needTime.Seconds() / span.Seconds()
+	came := s.demand.value(b.now)
+	usual := (priorDemand + came) / (priorDemand/mean + window)
+	storm := min(1, 2*b.broken/b.need)
+	return max(mean, storm*came/window+(1-storm)*usual)
+}
+
 func (b *refBalancer) sharers() float64 {
 	held, own, told := 0.0, 0.0, 0
 	for _, s := range b.local {
--- a/decide/state.go
+++ b/decide/state.go
@@ -34,6 +34,7 @@
 	slow        time.Duration  // messages are slow there, until then unless told again
 	credit      float64        // slow start: placements this balancer may make while it is cold,
 	creditUntil time.Duration  // until then
+	demand      fadingCount    // requests of groups at home there that came for it while it was cold
 	booked      []booking      // own placements that a report may not show yet, oldest first
 	movedAt     time.Duration  // when connections were last moved off
 	conns       []*request     // connections that stand there through this balancer,
@@ -53,6 +54,7 @@
 	out      bool          // that attempt has not ended
 	stands   bool          // its connection stands
 	tooMuch  bool          // it was moved off an overloaded server
+	cameFor  *server       // the cold server whose demand it was last counted in
 	homes    []*server     // its group's servers in the own zone,
 	away     []*server     // and elsewhere,
 	ranked   uint64        // by that list
@@ -99,7 +101,8 @@
 	rate, rateSpan, new float64       // connections set up a second, over how many; those since the last tick
 	capacity            float64       // of a warm server: connections a second, this balancer's part
 	capSpan             float64       // seconds over which that is averaged
-	need                float64       // requests that came of late, fading
+	need                float64       // requests that came of late, and connections that broke, fading,
+	broken              float64       // and of these the connections
 	lived, left         float64       // seconds that connections have stood, and how many left by themselves, fading
 	setup               time.Duration // how long set-ups take of late
 	dialing             int           // attempts that are out and do not stand
@@ -415,6 +418,7 @@
 func (b *Balancer) remember(r *request, code Code) {
 	if code == Reset || r.tooMuch { // it comes again, as those of others do that were cut off with it
 		b.need++
+		b.broken++
 	} else {
 		b.left++
 	}
@@ -471,6 +475,7 @@
 	fade := 1 - step/fadeTime.Seconds()
 	b.new, b.wasted, b.stood = 0, b.wasted*fade, b.stood*fade
 	b.need *= 1 - step/needTime.Seconds()
+	b.broken *= 1 - step/needTime.Seconds()
 	b.learnLife()
 	b.learnCapacity()
 }
