Carry membership over gossip, as a section of the fronts file that is off by default

Package gossip feeds hashicorp/memberlist (SWIM, Lifeguard, its keyring, its LAN defaults) to the pure machine. Ours are a thin transport (other addresses by "via", replays and frames that are too long dropped and counted), the announcement of a planned stop (the library's own leave is not told from a failure by its callbacks), a probe a second of a live member and of a suspect, attempts to find lost members and seeds with backoff and jitter, and the refusal of a second live process under one name. Keys are those of "cottonplank keys new", taken over by SIGHUP. SIGTERM and LAMEDUCK are told at once; on a hand-over the old process ends without a word and the new one takes its address. INFO and status show the view; without the section nothing is there.

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -36,11 +35,7 @@
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 func version(out io.Writer) error {
-	v := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		v = info.Main.Version
-	}
-	_, err := fmt.Fprintln(out, "cottonplank", v)
+	_, err := fmt.Fprintln(out, "cottonplank", programVersion())
 	return err
 }
 
@@ -82,9 +77,12 @@
 			return fmt.Errorf("fronts: control.%w", err)
 		}
 	}
+	if err := checkMembership(out, fronts.Membership); err != nil {
+		return err
+	}
 	_, err = fmt.Fprintf(out, `%s: %d classes, %d known room servers, management %q, quic %q, snmp %q
 descriptors: %d for channels and dials, %d of them for dials alone; %d requests and connections at once; %d for probes
-SIGHUP takes over: discovery, from the file before PROXY_DISCOVERY, the keys of tokens and the list of room servers; every other key takes a restart
+SIGHUP takes over: discovery, from the file before PROXY_DISCOVERY, the keys of tokens and of the membership and the list of room servers; every other key takes a restart
 `, cfg.Name, len(cfg.Settings.Classes), len(cfg.Known), cfg.Management, fronts.QUIC.Listen, fronts.SNMP.Listen,
 		cfg.Descriptors, cfg.DialSpare, cfg.MaxChannels, cfg.Probes)
 	return err
@@ -119,6 +117,10 @@
 	if err != nil {
 		return fmt.Errorf("fronts: control.%w", err)
 	}
+	cluster, err := newCluster(fronts.Membership, cfg.Settings.Balancers, log)
+	if err != nil {
+		return err
+	}
 	path := handover.Path(os.TempDir(), cfg.Listen)
 	sockets, predecessor := handover.Take(path, log)
 	sockets.Offer(supervise.Sockets())
@@ -209,7 +211,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { list.Run(ctx) })
 	running.Go(func() { module.Run(ctx, prober, list); prober.Wait() })
-	next := newSuccession(cfg, module, front, clients, datagrams, predecessor)
+	next := newSuccession(cfg, module, front, cluster, clients, datagrams, predecessor)
 	tell := func() []string { return module.Learned(learnedWait) }
 	offer := handover.NewOffer(path, sockets, tell, next.successors, log)
 	running.Go(func() { next.run(ctx) })
@@ -217,9 +219,16 @@
 	running.Go(func() { front.Serve(ctx, listener, clients) })
 	if managementListener != nil {
 		server := management.New(module, classNames(cfg), cfg.Callers, log)
+		if cluster != nil {
+			server.Show(func() []management.Figure { return clusterFigures(cluster) })
+		}
 		running.Go(func() { server.Serve(ctx, managementListener) })
 	}
-	reload := &reloader{fronts: fronts, rediscover: rediscover, resuming: resuming, rooms: rooms,
+	if cluster != nil {
+		running.Go(func() { cluster.Run(ctx) })
+		running.Go(func() { followService(ctx, cluster, module.Service) })
+	}
+	reload := &reloader{fronts: fronts, cluster: cluster, rediscover: rediscover, resuming: resuming, rooms: rooms,
 		generation: func(uint64) {}, supervisor: supervisor, log: log}
 	if frontsFile != "" { // INFO is as the platform knows it where there is none
 		reload.generation = module.Generation
@@ -239,10 +248,18 @@
 	log.Info("stopping: answering what is here and moving what stands")
 	supervisor.Stopping(cfg.StopBudget + exitWait)
 	next.stop()
+	left := make(chan struct{})
+	go func() { // within gossip.LeaveWait, beside the drain
+		defer close(left)
+		if cluster != nil {
+			cluster.Leave()
+		}
+	}()
 	<-module.Drain(cfg.StopBudget, func() bool { return front.Waits(listener) })
 	s := module.Snapshot()
 	log.WithFields(logrus.Fields{"served": s.Served, "refused": s.Refused, "failed": s.Failed, "left": s.Left,
 		"moves": s.Moves, "silent": s.Silent, "probes": s.Probes, "attempts": s.Attempts}).Info("stopped")
+	<-left
 	cancel()
 	ended := make(chan struct{})
 	go func() { // ends with the process at the latest
--- a/cmd/cottonplank/reload.go
+++ b/cmd/cottonplank/reload.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"time"
 
+	"cottonplank/internal/cluster/gossip"
 	"cottonplank/internal/config"
 	"cottonplank/internal/line"
 	"cottonplank/internal/roomfile"
@@ -15,10 +17,11 @@
 	"github.com/sirupsen/logrus"
 )
 
-// reloader takes over what SIGHUP may change: discovery's address, the keys of tokens, the list of room servers. One reload is
+// reloader takes over what SIGHUP may change: discovery's address, the keys of tokens and of the membership, the list of room servers. One reload is
 // of all of them or of none: where one file is faulty, all that was in force stays.
 type reloader struct {
 	fronts     config.Fronts
+	cluster    *gossip.Cluster // nil: this instance is no member
 	rediscover func(address string)
 	resuming   *line.Resuming   // nil: sessions are not resumed
 	rooms      *roomfile.Source // nil: the list is discovery's
@@ -67,6 +70,15 @@
 			return err
 		}
 	}
+	var members *token.Ring
+	if r.cluster != nil {
+		if members, err = r.fronts.Membership.Ring(); err != nil {
+			return fmt.Errorf("membership.%w", err)
+		}
+	}
+	if members != nil {
+		r.cluster.Use(members)
+	}
 	if ring != nil {
 		r.resuming.Use(ring)
 		r.log.WithFields(logrus.Fields{"seals": ring.Sealing(time.Now()), "keys": len(ring.Keys())}).Info("keys taken over")
--- a/cmd/cottonplank/status.go
+++ b/cmd/cottonplank/status.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"sync"
 	"text/tabwriter"
@@ -18,17 +19,52 @@
 
 // instance is one line of the status, in the form of its JSON. Rates are a second's, over the time that was asked for.
 type instance struct {
-	Address    string  `json:"address"`
-	State      string  `json:"state"` // as PING tells it; empty: it does not answer
-	Error      string  `json:"error,omitempty"`
-	Generation uint64  `json:"generation"` // of its configuration; 0: it tells none
-	Open       uint64  `json:"open_requests"`
-	Listed     uint64  `json:"registry_entries"`
-	LeftOut    uint64  `json:"out_of_rotation"`
-	Served     float64 `json:"served_per_s"`
-	Refused    float64 `json:"refused_per_s"`
-	Failed     float64 `json:"failed_per_s"`
-	Resumed    float64 `json:"resumed_per_s"`
+	Address    string   `json:"address"`
+	State      string   `json:"state"` // as PING tells it; empty: it does not answer
+	Error      string   `json:"error,omitempty"`
+	Generation uint64   `json:"generation"` // of its configuration; 0: it tells none
+	Open       uint64   `json:"open_requests"`
+	Listed     uint64   `json:"registry_entries"`
+	LeftOut    uint64   `json:"out_of_rotation"`
+	Served     float64  `json:"served_per_s"`
+	Refused    float64  `json:"refused_per_s"`
+	Failed     float64  `json:"failed_per_s"`
+	Resumed    float64  `json:"resumed_per_s"`
+	Members    *members `json:"members,omitempty"` // nil: it is no member of a cluster
+}
+
+// members is the cluster as an instance sees it.
+type members struct {
+	Alive       uint64 `json:"alive"`
+	Suspect     uint64 `json:"suspect"`
+	Failed      uint64 `json:"failed"`
+	FleetSize   uint64 `json:"fleet_size"`
+	Isolated    bool   `json:"isolated"`
+	Partitioned bool   `json:"partitioned"`
+}
+
+// membersOf reads an instance's figures; nil: it tells none.
+func membersOf(figures map[string]uint64) *members {
+	if _, told := figures["members_alive"]; !told {
+		return nil
+	}
+	return &members{Alive: figures["members_alive"], Suspect: figures["members_suspect"], Failed: figures["members_failed"],
+		FleetSize: figures["fleet_size"], Isolated: figures["isolated"] > 0, Partitioned: figures["partitioned"] > 0}
+}
+
+// columns are those of the table.
+func (m *members) columns() (counts, size, cluster string) {
+	switch {
+	case m == nil:
+		return "-", "-", "-"
+	case m.Isolated:
+		cluster = "isolated"
+	case m.Partitioned:
+		cluster = "partitioned"
+	default:
+		cluster = "whole"
+	}
+	return fmt.Sprintf("%d/%d/%d", m.Alive, m.Suspect, m.Failed), strconv.FormatUint(m.FleetSize, 10), cluster
 }
 
 func statusCommand(out io.Writer) *cobra.Command {
@@ -106,6 +142,7 @@
 		return sum / seconds
 	}
 	in.Generation, in.Open, in.Listed, in.LeftOut = now["generation"], now["open_requests"], now["registry_entries"], now["out_of_rotation"]
+	in.Members = membersOf(now)
 	in.Served, in.Refused, in.Failed, in.Resumed = rate("fulfilled"), rate("throttled"), rate("faulted"), rate("resumed")
 	return nil
 }
@@ -115,14 +152,15 @@
 		return json.NewEncoder(out).Encode(all)
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "ADDRESS\tSTATE\tGENERATION\tOPEN\tROOMS\tLEFT OUT\tSERVED/S\tREFUSED/S\tFAILED/S\tRESUMED/S")
+	fmt.Fprintln(table, "ADDRESS\tSTATE\tGENERATION\tOPEN\tROOMS\tLEFT OUT\tSERVED/S\tREFUSED/S\tFAILED/S\tRESUMED/S\tALIVE/SUSPECT/FAILED\tFLEET\tCLUSTER")
 	for _, in := range all {
 		if in.Error != "" {
 			fmt.Fprintf(table, "%s\t%s\n", in.Address, in.Error)
 			continue
 		}
-		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\n", in.Address, in.State, in.Generation, in.Open,
-			in.Listed, in.LeftOut, in.Served, in.Refused, in.Failed, in.Resumed)
+		counts, size, cluster := in.Members.columns()
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%s\t%s\t%s\n", in.Address, in.State, in.Generation, in.Open,
+			in.Listed, in.LeftOut, in.Served, in.Refused, in.Failed, in.Resumed, counts, size, cluster)
 	}
 	return table.Flush()
 }
--- a/cmd/cottonplank/succession.go
+++ b/cmd/cottonplank/succession.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cottonplank/decide"
+	"cottonplank/internal/cluster/gossip"
 	"cottonplank/internal/config"
 	"cottonplank/internal/core"
 	"cottonplank/internal/handover"
@@ -20,6 +21,7 @@
 	cfg       *config.Config
 	module    *core.Module
 	front     *line.Front
+	cluster   *gossip.Cluster // nil: this instance is no member
 	clients   *handover.Pause
 	datagrams []*handover.Pause
 	turns     chan func()
@@ -32,12 +34,13 @@
 	stopping bool
 	accepts  bool
 	reads    bool
+	yielded  bool // the membership is a successor's
 }
 
 // newSuccession returns the actor of a process that accepts nothing yet where it has a predecessor.
-func newSuccession(cfg *config.Config, module *core.Module, front *line.Front, clients *handover.Pause,
+func newSuccession(cfg *config.Config, module *core.Module, front *line.Front, cluster *gossip.Cluster, clients *handover.Pause,
 	datagrams []*handover.Pause, predecessor *handover.Predecessor) *succession {
-	s := &succession{cfg: cfg, module: module, front: front, clients: clients, datagrams: datagrams,
+	s := &succession{cfg: cfg, module: module, front: front, cluster: cluster, clients: clients, datagrams: datagrams,
 		turns: make(chan func()), done: make(chan struct{}), accepts: true, reads: true}
 	if predecessor != nil {
 		s.before, s.waiting, s.accepts, s.reads = true, true, false, false
@@ -130,6 +133,7 @@
 	s.front.Reserve(share.Reserved)
 	s.module.Bound(share.MaxChannels)
 	s.front.Succeeded(s.after.Serving > 0)
+	s.applyMembership()
 	if accepts := !s.waiting && !(s.stopping && s.after.Serving > 0); accepts != s.accepts {
 		s.accepts = accepts
 		set(accepts, s.clients)
@@ -141,6 +145,20 @@
 	}
 }
 
+// applyMembership leaves the place in the cluster to a successor, and takes it back from one that has ended.
+func (s *succession) applyMembership() {
+	yields := s.after.Serving > 0
+	if s.cluster == nil || yields == s.yielded {
+		return
+	}
+	s.yielded = yields
+	if yields {
+		s.cluster.Yield()
+	} else if !s.stopping {
+		s.cluster.Participate(true)
+	}
+}
+
 func set(on bool, pauses ...*handover.Pause) {
 	for _, p := range pauses {
 		if on {
--- /dev/null
+++ b/internal/cluster/gossip/cluster.go
@@ -0,0 +1,426 @@
+// Package gossip carries package membership over the network: hashicorp/memberlist finds members and detects failures (SWIM with
+// Lifeguard), and this package feeds what it reports to the pure machine, which decides what may be concluded. It is thin: one
+// goroutine owns the machine; the library's callbacks only put events into its queue.
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"math"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cottonplank/internal/cluster/membership"
+	"cottonplank/internal/config"
+	"cottonplank/internal/token"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/sirupsen/logrus"
+)
+
+// Times of the carrier.
+const (
+	probeEvery   = time.Second
+	updateWait   = 200 * time.Millisecond // for a new description to be sent once
+	LeaveWait    = 400 * time.Millisecond // for a planned stop to be told
+	startRetry   = time.Second            // after the address could not be bound: the process before this one may hold it still
+	detectExtra  = 14 * time.Second       // over the longest suspicion: probes, gossip, and the machine's own hold
+	conflictAsks = 3                      // questions to the other live process of the same name
+)
+
+// Config is what a Cluster starts with.
+type Config struct {
+	Settings  config.Membership
+	Ring      *token.Ring
+	Balancers int    // instances that the settings name
+	Version   string // of the program
+	Log       *logrus.Logger
+	// OnView is called with each new view, from the cluster's goroutine; nil: nobody is told.
+	OnView func(*membership.View)
+}
+
+// Figures count frames since the start.
+type Figures struct {
+	BytesSent, TooLong, Replayed, Refused uint64
+}
+
+// Cluster is this instance's part of the cluster, as an actor.
+type Cluster struct {
+	cfg    Config
+	counts counters
+	view   atomic.Pointer[membership.View]
+	active atomic.Bool // it should be a member,
+	member atomic.Bool // and it is
+	silent atomic.Bool // it ends without announcing a stop: a successor goes on under its name
+	wake   chan struct{}
+	ring   atomic.Pointer[token.Ring]
+	ended  chan struct{}
+
+	// Owned by Run's goroutine.
+	session   *session
+	retryAt   time.Time
+	lastError string
+	refused   bool
+}
+
+// New returns a cluster that Run joins.
+func New(cfg Config) *Cluster {
+	c := &Cluster{cfg: cfg, wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	c.ring.Store(cfg.Ring)
+	c.active.Store(true)
+	return c
+}
+
+// View is the latest view; nil while the instance is no member.
+func (c *Cluster) View() *membership.View { return c.view.Load() }
+
+// Figures tells the counts.
+func (c *Cluster) Figures() Figures {
+	return Figures{BytesSent: c.counts.sent.Load(), TooLong: c.counts.tooLong.Load(), Replayed: c.counts.replayed.Load(),
+		Refused: c.counts.refused.Load()}
+}
+
+// Use takes over new keys.
+func (c *Cluster) Use(ring *token.Ring) { c.ring.Store(ring) }
+
+// Participate joins the cluster, or leaves it and tells the others so.
+func (c *Cluster) Participate(join bool) { c.set(join, false) }
+
+// Yield ends the membership without a word: the next process of this instance goes on with it.
+func (c *Cluster) Yield() { c.set(false, true) }
+
+func (c *Cluster) set(active, silent bool) {
+	c.silent.Store(silent)
+	c.active.Store(active)
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells the others of a planned stop and waits until it is sent, but no longer than LeaveWait.
+func (c *Cluster) Leave() {
+	if c.silent.Load() {
+		return
+	}
+	c.Participate(false)
+	deadline := time.Now().Add(LeaveWait)
+	for c.member.Load() && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Run is the actor, until ctx ends.
+func (c *Cluster) Run(ctx context.Context) {
+	defer close(c.ended)
+	ticker := time.NewTicker(membership.TickInterval)
+	defer ticker.Stop()
+	for {
+		c.reconcile()
+		var events <-chan struct{}
+		if c.session != nil {
+			events = c.session.events.ready
+		}
+		select {
+		case <-ctx.Done():
+			c.end()
+			return
+		case <-c.wake:
+		case <-events:
+			c.session.handleEvents()
+		case <-ticker.C:
+			if c.session != nil {
+				c.session.tick(time.Now())
+			}
+		}
+		c.follow()
+	}
+}
+
+// reconcile starts or ends the session as it should be.
+func (c *Cluster) reconcile() {
+	active := c.active.Load() && !c.refused
+	switch {
+	case active && c.session == nil && time.Now().After(c.retryAt):
+		s, err := newSession(c)
+		if err != nil {
+			c.retryAt = time.Now().Add(startRetry)
+			if err.Error() != c.lastError { // once, not each second
+				c.lastError = err.Error()
+				c.cfg.Log.WithError(err).Warn("membership: not joined yet, trying again")
+			}
+			return
+		}
+		c.session, c.lastError = s, ""
+		c.member.Store(true)
+		c.cfg.Log.WithFields(logrus.Fields{"name": c.cfg.Settings.Name, "listen": c.cfg.Settings.Listen.String()}).Info("membership: joined")
+	case !active && c.session != nil:
+		c.end()
+	}
+}
+
+func (c *Cluster) end() {
+	if c.session == nil {
+		return
+	}
+	c.view.Store(nil)
+	if c.silent.Load() {
+		c.session.close()
+	} else {
+		c.session.leave()
+	}
+	c.session = nil
+	c.member.Store(false)
+}
+
+// follow publishes a changed view, and logs what has changed.
+func (c *Cluster) follow() {
+	if c.session == nil {
+		return
+	}
+	if c.session.conflict.Load() {
+		c.cfg.Log.WithField("name", c.cfg.Settings.Name).Error("membership: refused: another live process has this name, choose another; going on without a view")
+		c.refused = true
+		c.silent.Store(true)
+		c.end()
+		return
+	}
+	before, now := c.view.Load(), c.session.machine.View()
+	if before == now {
+		return
+	}
+	c.view.Store(now)
+	logChanges(c.cfg.Log, before, now)
+	c.session.describe(now.Sharing)
+	if c.cfg.OnView != nil {
+		c.cfg.OnView(now)
+	}
+}
+
+// session is one stay in the cluster.
+type session struct {
+	cluster   *Cluster
+	list      *memberlist.Memberlist
+	transport *transport
+	keyring   *memberlist.Keyring
+	delegate  *delegate
+	machine   *membership.Machine
+	events    *queue
+	began     time.Time
+	self      atomic.Pointer[description]
+	conflict  atomic.Bool
+	probing   atomic.Bool
+	joining   atomic.Bool
+	nextProbe time.Time
+	attempts  backoff
+	warned    bool
+}
+
+func newSession(c *Cluster) (*session, error) {
+	set := c.cfg.Settings
+	now := time.Now()
+	keyring, err := newKeyring(c.ring.Load(), now)
+	if err != nil {
+		return nil, err
+	}
+	logger := log.New(&libraryLog{log: c.cfg.Log, counts: &c.counts}, "", 0)
+	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{set.Listen.Addr().String()},
+		BindPort: int(set.Listen.Port()), Logger: logger})
+	if err != nil {
+		return nil, err
+	}
+	s := &session{cluster: c, keyring: keyring, began: now, events: newQueue(), transport: newTransport(inner, set.Via, &c.counts)}
+	s.self.Store(&description{Zone: set.Zone, Region: set.Region, Version: c.cfg.Version, Incarnation: uint64(now.UnixMilli())})
+	lib := memberlist.DefaultLANConfig()
+	lib.Name, lib.Transport, lib.Keyring, lib.Logger = set.Name, s.transport, keyring, logger
+	lib.BindAddr, lib.BindPort = set.Listen.Addr().String(), int(set.Listen.Port())
+	lib.AdvertiseAddr, lib.AdvertisePort = lib.BindAddr, lib.BindPort
+	lib.DeadNodeReclaimTime = time.Second // a process may come back at another address
+	s.delegate = newDelegate(s)
+	lib.Delegate, lib.Events, lib.Ping, lib.Conflict = s.delegate, s.delegate, s.delegate, s.delegate
+	self := s.self.Load().member(set.Name, set.Listen.String())
+	s.machine, err = membership.New(membership.Config{Self: self, Balancers: c.cfg.Balancers, Alone: s.alone(),
+		WallClock: time.Duration(now.UnixNano()), PartitionHold: set.PartitionHold, Detection: detectionTime(lib, c.cfg.Balancers)})
+	if err == nil {
+		s.list, err = memberlist.Create(lib)
+	}
+	if err != nil {
+		s.transport.Shutdown()
+		return nil, fmt.Errorf("membership: %w", err)
+	}
+	return s, nil
+}
+
+// alone tells whether no seed but the instance itself is configured.
+func (s *session) alone() bool {
+	for _, seed := range s.cluster.cfg.Settings.Seeds {
+		if seed != s.cluster.cfg.Settings.Listen {
+			return false
+		}
+	}
+	return true
+}
+
+// detectionTime is within what the library reports a failure among so many members: the longest suspicion, as nobody confirms it,
+// and what comes before and after it.
+func detectionTime(lib *memberlist.Config, members int) time.Duration {
+	scale := max(1, math.Log10(max(1, float64(members))))
+	longest := float64(lib.SuspicionMult*lib.SuspicionMaxTimeoutMult) * scale * float64(lib.ProbeInterval)
+	return time.Duration(longest) + detectExtra
+}
+
+// now is the machine's time.
+func (s *session) now() time.Duration { return time.Since(s.began) }
+
+func (s *session) handleEvents() {
+	for _, event := range s.events.take() {
+		s.machine.Handle(s.now(), event)
+	}
+}
+
+// tick does what is due: the machine's tick, a round of probes, an attempt to find the lost, new keys.
+func (s *session) tick(now time.Time) {
+	s.handleEvents()
+	s.machine.Handle(s.now(), membership.Tick{})
+	if now.Before(s.nextProbe) {
+		return
+	}
+	s.nextProbe = now.Add(probeEvery)
+	s.probe()
+	s.reconnect(now)
+	if err := useKeys(s.keyring, s.cluster.ring.Load(), now); err != nil {
+		if !s.warned {
+			s.cluster.cfg.Log.WithError(err).Warn("membership: the keys in use stay")
+		}
+		s.warned = true
+	} else {
+		s.warned = false
+	}
+}
+
+// probe asks one member that is alive, and one that is suspect, whether both directions work.
+func (s *session) probe() {
+	if !s.probing.CompareAndSwap(false, true) {
+		return
+	}
+	view := s.machine.View()
+	var targets []membership.Member
+	for _, state := range []membership.State{membership.Alive, membership.Suspect} {
+		if m, ok := pick(view.Members, s.cluster.cfg.Settings.Name, state); ok {
+			targets = append(targets, m)
+		}
+	}
+	go func() {
+		defer s.probing.Store(false)
+		var all sync.WaitGroup
+		for _, m := range targets {
+			all.Go(func() { s.ask(m.Name, m.Address) })
+		}
+		all.Wait()
+	}()
+}
+
+// ask probes a member and tells whether it answered.
+func (s *session) ask(name, address string) bool {
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return false
+	}
+	if _, err = s.list.Ping(name, to); err != nil {
+		return false
+	}
+	s.events.put(membership.Answered{Name: name})
+	return true
+}
+
+// reconnect tries to join a seed or a lost member, as long as one is missing.
+func (s *session) reconnect(now time.Time) {
+	target, missing := s.missing()
+	if !missing {
+		s.attempts.reset()
+		return
+	}
+	if !s.attempts.next(now) || !s.joining.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.joining.Store(false)
+		s.list.Join([]string{target}) // a failure is tried again
+	}()
+}
+
+// missing picks one of the addresses at which a member should be and none is alive.
+func (s *session) missing() (string, bool) {
+	alive, candidates := map[string]bool{}, []string{}
+	for _, m := range s.machine.View().Members {
+		if m.State == membership.Alive {
+			alive[m.Address] = true
+		}
+	}
+	for _, m := range s.machine.View().Members {
+		if (m.State == membership.Suspect || m.State == membership.Failed) && !alive[m.Address] {
+			candidates = append(candidates, m.Address)
+		}
+	}
+	for _, seed := range s.cluster.cfg.Settings.Seeds {
+		if !alive[seed.String()] {
+			candidates = append(candidates, seed.String())
+		}
+	}
+	return pickAddress(candidates)
+}
+
+// describe tells the others a changed divisor.
+func (s *session) describe(sharing membership.Sharing) {
+	d := *s.self.Load()
+	d.Divisor = 0
+	if sharing.Settled {
+		d.Divisor = sharing.Zone
+	}
+	if d != *s.self.Load() {
+		s.self.Store(&d)
+		go s.list.UpdateNode(updateWait)
+	}
+}
+
+// refuteDeparture answers a false word that this instance has left.
+func (s *session) refuteDeparture(said uint64) {
+	d := *s.self.Load()
+	if said < d.Incarnation || time.Duration(said)*time.Millisecond > time.Duration(time.Now().Add(time.Minute).UnixNano()) {
+		return
+	}
+	d.Incarnation = max(said+1, uint64(time.Now().UnixMilli()))
+	s.self.Store(&d)
+	go s.list.UpdateNode(updateWait)
+}
+
+// leave tells the others of a planned stop, and closes.
+func (s *session) leave() {
+	s.delegate.depart()
+	s.list.Leave(LeaveWait)
+	s.close()
+}
+
+func (s *session) close() { s.list.Shutdown() }
+
+// conflicting is called where another process has this instance's name at another address. The one that started first stays; the
+// second ends if the first one answers.
+func (s *session) conflicting(other *memberlist.Node) {
+	d, err := decodeDescription(other.Meta)
+	if err != nil || d.Incarnation > s.self.Load().Incarnation {
+		return
+	}
+	address := netip.AddrPortFrom(addressOf(other.Addr), other.Port).String()
+	go func() {
+		for range conflictAsks {
+			if s.ask(other.Name, address) {
+				s.conflict.Store(true)
+				return
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/internal/cluster/gossip/cluster_test.go
@@ -0,0 +1,278 @@
+package gossip
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cottonplank/internal/cluster/membership"
+	"cottonplank/internal/config"
+	"cottonplank/internal/token"
+
+	"github.com/sirupsen/logrus"
+)
+
+// testWait is how long a test waits for what takes some seconds at most.
+const testWait = 40 * time.Second
+
+func newKey(t *testing.T) token.Key {
+	t.Helper()
+	key, err := token.NewKey(time.Now().Add(-time.Minute), time.Now().Add(time.Hour), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func newRing(t *testing.T, keys ...token.Key) *token.Ring {
+	t.Helper()
+	ring, err := token.NewRing(keys, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ring
+}
+
+// freeAddress is a loopback address at which neither TCP nor UDP is taken.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := netip.MustParseAddrPort(l.Addr().String())
+		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+		l.Close()
+		if err == nil {
+			u.Close()
+			return address
+		}
+	}
+	t.Fatal("no free address")
+	return netip.AddrPort{}
+}
+
+// running is a cluster's instance that a test can stop.
+type running struct {
+	*Cluster
+	stop func()
+}
+
+func start(t *testing.T, name string, listen netip.AddrPort, ring *token.Ring, seeds ...netip.AddrPort) *running {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := New(Config{Settings: config.Membership{Name: name, Listen: listen, Zone: "a", Region: "x", Seeds: seeds,
+		PartitionHold: time.Hour}, Ring: ring, Balancers: 5, Version: "test", Log: log})
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	all.Go(func() { c.Run(ctx) })
+	var once sync.Once
+	r := &running{c, func() { once.Do(func() { cancel(); all.Wait() }) }}
+	t.Cleanup(r.stop)
+	return r
+}
+
+func (r *running) state(name string) (membership.State, bool) {
+	v := r.View()
+	if v == nil {
+		return 0, false
+	}
+	for _, m := range v.Members {
+		if m.Name == name {
+			return m.State, true
+		}
+	}
+	return 0, false
+}
+
+func waitFor(t *testing.T, what string, within time.Duration, is func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for !is() {
+		if time.Since(began) > within {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func (r *running) has(name string, state membership.State) func() bool {
+	return func() bool {
+		s, known := r.state(name)
+		return known && s == state
+	}
+}
+
+func startAll(t *testing.T, n int, ring *token.Ring) []*running {
+	t.Helper()
+	seed := freeAddress(t)
+	all := []*running{start(t, "m0", seed, ring, seed)}
+	for i := 1; i < n; i++ {
+		all = append(all, start(t, fmt.Sprintf("m%d", i), freeAddress(t), ring, seed))
+	}
+	for _, r := range all {
+		waitFor(t, "all see each other", testWait, func() bool { v := r.View(); return v != nil && v.Alive == n })
+	}
+	return all
+}
+
+func TestMembersSeeEachOtherLeaveAndFail(t *testing.T) {
+	t.Parallel()
+	all := startAll(t, 5, newRing(t, newKey(t)))
+	leaving := time.Now()
+	all[4].Leave()
+	for _, r := range all[:4] {
+		waitFor(t, "m4 has left", 5*time.Second, r.has("m4", membership.Left))
+	}
+	t.Logf("left after %v", time.Since(leaving).Round(time.Millisecond))
+	all[3].Yield() // its process is gone without a word
+	for _, r := range all[:3] {
+		took := waitFor(t, "m3 has failed", testWait, r.has("m3", membership.Failed))
+		t.Logf("failed after %v", took.Round(time.Millisecond))
+	}
+	if v := all[0].View(); v.Sharing.Cluster < 4 {
+		t.Errorf("a size of %d right after a failure", v.Sharing.Cluster)
+	}
+	all[3].Participate(true)
+	for _, r := range all[:3] {
+		waitFor(t, "m3 is back", testWait, r.has("m3", membership.Alive))
+	}
+}
+
+// The next process of an instance goes on under its name and address: nobody sees it fail or leave.
+func TestHandOverIsOneMemberThroughout(t *testing.T) {
+	t.Parallel()
+	ring := newRing(t, newKey(t))
+	all := startAll(t, 4, ring)
+	next := start(t, "m3", all[3].cfg.Settings.Listen, ring, all[0].cfg.Settings.Listen)
+	time.Sleep(500 * time.Millisecond)
+	all[3].Yield()
+	for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, r := range all[:3] {
+			if state, _ := r.state("m3"); state == membership.Failed || state == membership.Left {
+				t.Fatalf("%s sees m3 %v", r.cfg.Settings.Name, state)
+			}
+		}
+	}
+	waitFor(t, "the next process sees all", testWait, func() bool { v := next.View(); return v != nil && v.Alive == 4 })
+}
+
+// Of two live processes with one name the second is refused; the first stays a member.
+func TestSecondOfOneNameIsRefused(t *testing.T) {
+	t.Parallel()
+	ring := newRing(t, newKey(t))
+	all := startAll(t, 3, ring)
+	time.Sleep(20 * time.Millisecond) // a later millisecond
+	second := start(t, "m2", freeAddress(t), ring, all[0].cfg.Settings.Listen)
+	waitFor(t, "the second has a view", testWait, func() bool { return second.View() != nil })
+	waitFor(t, "the second is refused", testWait, func() bool { return second.View() == nil })
+	if state, _ := all[0].state("m2"); state != membership.Alive || all[2].View() == nil {
+		t.Errorf("the first is %v", state)
+	}
+}
+
+// An instance that is moved to another address after its death is the same member.
+func TestInstanceMovesToAnotherAddress(t *testing.T) {
+	t.Parallel()
+	ring := newRing(t, newKey(t))
+	all := startAll(t, 4, ring)
+	all[3].Yield()
+	moved := start(t, "m3", freeAddress(t), ring, all[0].cfg.Settings.Listen)
+	for _, r := range all[:3] {
+		waitFor(t, "m3 is alive at its new address", 2*testWait, func() bool {
+			for _, m := range r.View().Members {
+				if m.Name == "m3" && m.State == membership.Alive && m.Address == moved.cfg.Settings.Listen.String() {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
+// Another site's cluster has other keys: it does not merge, whatever it is sent, and its frames cost a counter.
+func TestOtherSitesDoNotMerge(t *testing.T) {
+	t.Parallel()
+	ours := startAll(t, 2, newRing(t, newKey(t)))
+	theirs := start(t, "x0", freeAddress(t), newRing(t, newKey(t)), ours[0].cfg.Settings.Listen)
+	waitFor(t, "a frame is refused", testWait, func() bool { return ours[0].Figures().Refused > 0 })
+	time.Sleep(2 * time.Second)
+	if v := theirs.View(); v.Alive != 1 {
+		t.Errorf("the other site sees %d members", v.Alive)
+	}
+	if v := ours[0].View(); v.Alive != 2 || len(v.Members) != 2 {
+		t.Errorf("%d members, %d alive", len(v.Members), v.Alive)
+	}
+}
+
+// Frames that are spoilt, too long or seen before cost a counter, and no member.
+func TestSpoiltFramesCostACounter(t *testing.T) {
+	t.Parallel()
+	all := startAll(t, 3, newRing(t, newKey(t)))
+	to := all[0].cfg.Settings.Listen
+	conn, err := net.Dial("udp", to.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	frame := []byte(strings.Repeat("spoilt", 20))
+	for range 3 {
+		conn.Write(frame)
+	}
+	conn.Write(make([]byte, 8000))
+	waitFor(t, "counters", testWait, func() bool {
+		f := all[0].Figures()
+		return f.Refused >= 1 && f.Replayed >= 2 && f.TooLong >= 1
+	})
+	stream, err := net.Dial("tcp", to.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	before := all[0].Figures().Refused
+	stream.Write(frame)
+	waitFor(t, "the stream is refused", testWait, func() bool { return all[0].Figures().Refused > before })
+	if v := all[0].View(); v.Alive != 3 {
+		t.Errorf("%d alive", v.Alive)
+	}
+}
+
+// Keys are exchanged in three steps, as for tokens: all open with the new one, then it seals, then the old one goes.
+func TestKeysAreRotated(t *testing.T) {
+	t.Parallel()
+	old, next := newKey(t), newKey(t)
+	next.NotBefore = old.NotBefore.Add(time.Second) // it seals as soon as it is there
+	all := startAll(t, 3, newRing(t, old))
+	for _, ring := range []*token.Ring{newRing(t, old, next), newRing(t, next)} {
+		for _, r := range all {
+			r.Use(ring)
+			time.Sleep(1500 * time.Millisecond)
+		}
+	}
+	time.Sleep(8 * time.Second)
+	for _, r := range all {
+		if v := r.View(); v.Alive != 3 || v.Isolated {
+			t.Errorf("%s: %d alive, isolated %v", r.cfg.Settings.Name, v.Alive, v.Isolated)
+		}
+	}
+}
+
+func TestSeedsThatDoNotExist(t *testing.T) {
+	t.Parallel()
+	r := start(t, "m0", freeAddress(t), newRing(t, newKey(t)), freeAddress(t), freeAddress(t))
+	waitFor(t, "a view", testWait, func() bool { return r.View() != nil })
+	time.Sleep(3 * time.Second)
+	if v := r.View(); v.Alive != 1 || v.Sharing.Admitted || v.Sharing.Cluster != 5 {
+		t.Errorf("alone beside dead seeds: %+v", v.Sharing)
+	}
+}
--- a/internal/config/control.go
+++ b/internal/config/control.go
@@ -137,17 +137,20 @@
 }
 
 // Ring reads the keys that the section names. A key is taken for a minute after its end, and the clocks' leeway.
-func (c Control) Ring() (*token.Ring, error) {
-	keys, err := ReadKeys(c.KeysFile)
+func (c Control) Ring() (*token.Ring, error) { return ringOf(c.KeysFile) }
+
+// ringOf reads the keys by which machines of a site know each other.
+func ringOf(path string) (*token.Ring, error) {
+	keys, err := ReadKeys(path)
 	if err != nil {
 		return nil, err
 	}
 	ring, err := token.NewRing(keys, time.Minute)
 	if err != nil {
-		return nil, fmt.Errorf("keys: %s: %w", c.KeysFile, err)
+		return nil, fmt.Errorf("keys: %s: %w", path, err)
 	}
 	if ring.Sealing(time.Now()) == "" {
-		return nil, errors.New("keys: " + c.KeysFile + ": no key seals now, see not_before and not_after")
+		return nil, errors.New("keys: " + path + ": no key seals now, see not_before and not_after")
 	}
 	return ring, nil
 }
--- a/internal/config/fronts.go
+++ b/internal/config/fronts.go
@@ -21,7 +21,8 @@
 	Resume Resume
 	Rooms  string // the file that lists the room servers, in place of discovery; empty: off
 
-	Control Control
+	Control    Control
+	Membership Membership
 }
 
 // QUIC is the front for QUIC connection ids.
@@ -61,7 +62,8 @@
 	Rooms  struct {
 		File string `json:"file"`
 	} `json:"rooms"`
-	Control *controlFile `json:"control"`
+	Control    *controlFile    `json:"control"`
+	Membership *membershipFile `json:"membership"`
 }
 
 // Defaults of the fronts.
@@ -127,6 +129,11 @@
 			return f, errors.New("control, rooms: both would list the room servers, one of them is expected")
 		}
 	}
+	if w.Membership != nil {
+		if f.Membership, err = w.Membership.membership(base); err != nil {
+			return f, fmt.Errorf("membership.%w", err)
+		}
+	}
 	return f, nil
 }
 
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -53,10 +53,20 @@
 	module  *core.Module
 	classes []string
 	most    int
+	more    func() []Figure // nil: there are no more
 	log     *logrus.Logger
 	actors  sync.WaitGroup
 }
 
+// Figure is one line of INFO beside the module's own.
+type Figure struct {
+	Name  string
+	Value uint64
+}
+
+// Show adds figures to INFO; it is called before Serve.
+func (s *Server) Show(more func() []Figure) { s.more = more }
+
 // New returns a server for a module whose classes have these names; it holds most callers at once.
 func New(module *core.Module, classes []string, most int, log *logrus.Logger) *Server {
 	return &Server{module: module, classes: classes, most: most, log: log}
@@ -198,6 +208,11 @@
 			fmt.Fprintf(&b, "svc.%s.%s=%d\r\n", name, r, snapshot.StartedOver[core.Reason(r.String())])
 		}
 	}
+	if s.more != nil {
+		for _, f := range s.more() {
+			fmt.Fprintf(&b, "svc.%s=%d\r\n", f.Name, f.Value)
+		}
+	}
 	fmt.Fprintf(&b, "svc.open_requests=%d\r\nsvc.registry_entries=%d\r\nsvc.out_of_rotation=%d\r\nEOF",
 		snapshot.Waiting+snapshot.Standing, snapshot.Listed, snapshot.Avoided)
 	return b.String()
