--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"cottonplank/internal/relay"
 	"cottonplank/internal/rules"
 	"cottonplank/internal/scale"
 	"cottonplank/internal/standin"
@@ -80,8 +81,8 @@
 	zoneOf  []int           // of each of them
 	roster  *standin.Roster
 	sources []*standin.Source
-	links   []*scale.Link
-	ports   []*scale.Port // of the hollow balancers, then of the real ones
+	links   []*relay.Link
+	ports   []*relay.Port // of the hollow balancers, then of the real ones
 	workers []*worker
 	of      []*worker // of each hollow balancer
 
@@ -134,7 +135,7 @@
 		return err
 	}
 	for z := range s.e.Zones {
-		s.links = append(s.links, scale.NewLink(func(p *scale.Port) string { return s.lead(z, p.Balancer) }))
+		s.links = append(s.links, relay.NewLink(func(p *relay.Port) string { return s.lead(z, p.Balancer) }))
 	}
 	for i := range s.e.Hollow + s.e.Real {
 		p, err := s.links[s.zone(i)].Port(i)
--- a/internal/lab/scale_compare.go
+++ b/internal/lab/scale_compare.go
@@ -11,6 +11,7 @@
 	"text/tabwriter"
 	"time"
 
+	"cottonplank/internal/relay"
 	"cottonplank/internal/scale"
 	"cottonplank/internal/standin"
 
@@ -87,13 +88,13 @@
 	if err != nil {
 		return c, err
 	}
-	link := scale.NewLink(func(*scale.Port) string { return address })
+	link := relay.NewLink(func(*relay.Port) string { return address })
 	at := onlyPlace
 	at.mode, at.quiet = "automatic", true
 	e := Experiment{Seed: 1, Balancers: 2 * each, Sessions: 1, Patience: 2000, MemoryMB: 512}
 	list := roster.Whole(known)
 	var reals []*balancer
-	var ports []*scale.Port // of the real ones, then of the hollow ones
+	var ports []*relay.Port // of the real ones, then of the hollow ones
 	defer func() {
 		for _, b := range reals {
 			b.stop()
--- a/internal/scale/link.go
+++ b/internal/relay/link.go
@@ -1,4 +1,4 @@
-package scale
+package relay
 
 import (
 	"context"
@@ -8,8 +8,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -17,28 +15,31 @@
 	chunksWait = 64 // of one connection in one direction; past that its sender waits
 )
 
-// Link is how the balancers of one place reach a source: as far away, as fast, or not at all.
+// Link carries connections between two places: as far away, as fast, or not at all.
 type Link struct {
-	mu     sync.Mutex
-	down   bool
-	delay  time.Duration
-	limit  *rate.Limiter
-	target func(*Port) string
-	open   map[net.Conn]*Port
+	mu            sync.Mutex
+	down          bool
+	forward, back *Path // of the bytes of whoever dials, and of the answers
+	target        func(*Port) string
+	open          map[net.Conn]*Port
 }
 
-// NewLink returns a link to where target says, empty: nowhere, asked anew for each connection.
+// NewLink returns a link to where target says, empty: nowhere, asked anew for each connection. Both directions are one path.
 func NewLink(target func(*Port) string) *Link {
-	return &Link{target: target, open: map[net.Conn]*Port{}}
+	both := NewPath(0)
+	return NewLinkOver(both, both, target)
+}
+
+// NewLinkOver returns a link whose directions are disturbed by themselves.
+func NewLinkOver(forward, back *Path, target func(*Port) string) *Link {
+	return &Link{forward: forward, back: back, target: target, open: map[net.Conn]*Port{}}
 }
 
 // Slow delays all that begins to cross the link from now on, each way, and bounds its bytes a second; 0, 0 ends that.
 func (l *Link) Slow(delay time.Duration, bytes float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.delay, l.limit = delay, nil
-	if bytes > 0 {
-		l.limit = rate.NewLimiter(rate.Limit(bytes), max(chunk, int(bytes/10)))
+	for _, p := range []*Path{l.forward, l.back} {
+		p.Set(Conditions{Delay: delay})
+		p.Limit(bytes)
 	}
 }
 
@@ -59,12 +60,6 @@
 	l.down = false
 }
 
-func (l *Link) state() (time.Duration, *rate.Limiter) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.delay, l.limit
-}
-
 func (l *Link) add(c net.Conn, p *Port) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -92,8 +87,11 @@
 }
 
 // Port opens one.
-func (l *Link) Port(balancer int) (*Port, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func (l *Link) Port(balancer int) (*Port, error) { return l.PortAt(balancer, "127.0.0.1:0") }
+
+// PortAt opens one at an address.
+func (l *Link) PortAt(balancer int, address string) (*Port, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
@@ -131,7 +129,8 @@
 func (p *Port) carry(near net.Conn) {
 	defer near.Close()
 	p.calls.Add(1)
-	if !p.link.add(near, p) {
+	now, _, _ := p.link.forward.state()
+	if p.link.forward.draw(now.Loss) || !p.link.add(near, p) {
 		return
 	}
 	defer p.link.drop(near)
@@ -155,18 +154,33 @@
 		far.Close()
 	}
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(ctx, far, near, end) })
-	both.Go(func() { p.copy(ctx, near, far, end) })
+	both.Go(func() { p.copy(ctx, far, near, p.link.forward, end) })
+	both.Go(func() { p.copy(ctx, near, far, p.link.back, end) })
 	both.Wait()
 }
 
+// passes waits for the end of a cut; false: ctx ended first.
+func (p *Path) passes(ctx context.Context) bool {
+	for {
+		now, _, changed := p.state()
+		if !now.Cut {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 type packet struct {
 	data []byte
 	due  time.Time // zero: at once
 }
 
 // copy carries one direction.
-func (p *Port) copy(ctx context.Context, to io.Writer, from io.Reader, end func()) {
+func (p *Port) copy(ctx context.Context, to io.Writer, from io.Reader, path *Path, end func()) {
 	packets := make(chan packet, chunksWait)
 	var reading sync.WaitGroup
 	defer reading.Wait()
@@ -177,10 +191,10 @@
 		for {
 			n, err := from.Read(buffer)
 			if n > 0 {
-				delay, _ := p.link.state()
+				now, _, _ := path.state()
 				pk := packet{data: append([]byte(nil), buffer[:n]...)}
-				if delay > 0 {
-					pk.due = time.Now().Add(delay)
+				if now.Delay > 0 {
+					pk.due = time.Now().Add(now.Delay)
 				}
 				select {
 				case packets <- pk:
@@ -201,7 +215,10 @@
 				return
 			}
 		}
-		if _, limit := p.link.state(); limit != nil && limit.WaitN(ctx, len(pk.data)) != nil {
+		if !path.passes(ctx) {
+			return
+		}
+		if _, limit, _ := path.state(); limit != nil && limit.WaitN(ctx, len(pk.data)) != nil {
 			return
 		}
 		p.bytes.Add(uint64(len(pk.data)))
--- a/internal/scale/link_test.go
+++ b/internal/relay/link_test.go
@@ -1,8 +1,9 @@
-package scale
+package relay
 
 import (
 	"io"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 )
@@ -116,3 +117,81 @@
 		t.Error("the wrong one ended")
 	}
 }
+
+// A cut of one direction holds back the bytes of that direction alone, and they come when it ends.
+func TestCutOfOneDirection(t *testing.T) {
+	at := echo(t)
+	forward, back := NewPath(1), NewPath(2)
+	p, err := NewLinkOver(forward, back, func(*Port) string { return at }).Port(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	c := dial(t, p)
+	back.Set(Conditions{Cut: true})
+	io.WriteString(c, "hello")
+	c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	if n, _ := c.Read(make([]byte, 10)); n > 0 {
+		t.Error("bytes cross a cut")
+	}
+	back.Set(Conditions{})
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	got := make([]byte, 5)
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != "hello" {
+		t.Errorf("after the cut: %q, %v", got, err)
+	}
+	forward.Set(Conditions{Loss: 1})
+	if said(dial(t, p), "hello") {
+		t.Error("a stream is taken though all are lost")
+	}
+}
+
+// Datagrams are carried, lost, doubled and held up as the path says.
+func TestDatagrams(t *testing.T) {
+	receiver, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer receiver.Close()
+	path := NewPath(3)
+	relay, err := NewDatagrams(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort(receiver.LocalAddr().String()), path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	sender, err := net.Dial("udp", relay.conn.LocalAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	count := func(sent int, wait time.Duration) (n int) {
+		for range sent {
+			io.WriteString(sender, "x")
+			time.Sleep(time.Millisecond)
+		}
+		buffer := make([]byte, 10)
+		for {
+			receiver.SetReadDeadline(time.Now().Add(wait))
+			if _, err := receiver.Read(buffer); err != nil {
+				return n
+			}
+			n++
+		}
+	}
+	const wait = 400 * time.Millisecond
+	if n := count(20, wait); n != 20 {
+		t.Errorf("%d of 20 are carried", n)
+	}
+	path.Set(Conditions{Cut: true})
+	if n := count(20, wait); n != 0 {
+		t.Errorf("%d cross a cut", n)
+	}
+	path.Set(Conditions{Loss: 0.5})
+	if n := count(200, wait); n < 60 || n > 140 {
+		t.Errorf("%d of 200 are left of a loss of half", n)
+	}
+	path.Set(Conditions{Duplicate: 1, Delay: 10 * time.Millisecond, Jitter: 10 * time.Millisecond, Reorder: 0.5})
+	if n := count(20, wait); n != 40 {
+		t.Errorf("%d of 20 doubled ones", n)
+	}
+}
--- a/internal/scale/hollow_test.go
+++ b/internal/scale/hollow_test.go
@@ -9,6 +9,7 @@
 
 	"cottonplank/decide"
 	"cottonplank/internal/core"
+	"cottonplank/internal/relay"
 	"cottonplank/internal/resolver"
 	"cottonplank/internal/standin"
 )
@@ -76,7 +77,7 @@
 type fleet struct {
 	roster *standin.Roster
 	source *standin.Source
-	ports  []*Port
+	ports  []*relay.Port
 	hollow []*hollow
 	shared *shared
 
@@ -100,7 +101,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	link := NewLink(func(*Port) string { return address })
+	link := relay.NewLink(func(*relay.Port) string { return address })
 	list, err := resolver.Decode(f.roster.Whole(1))
 	if err != nil {
 		t.Fatal(err)
