Play faults between twenty members, drawn from a seed, and check what they conclude

"cottonplank-lab run experiments/membership-faults.json [--seed N]": twenty balancers under load, each ordered pair joined by a relay of datagrams and streams. The seed draws kills, restarts, planned stops, pauses (three at once among them), one-way and two-way cuts, a mute and a deaf instance, a partition, 40 % loss, duplicates and delays, and cold room servers; the schedule is printed. States come from the balancers' logs, sizes from INFO. For the lab's rules a stopped process counts as killed until it goes on.

Found on the way: addresses that the lab chose for instances could be given to relays before the instances had bound them. Not told apart: gossip_cpu is that of the whole process.

--- a/cmd/cottonplank-lab/main.go
+++ b/cmd/cottonplank-lab/main.go
@@ -55,12 +55,23 @@
 		Long: "Play an experiment. The exit status is 0 if all rules and invariants were kept, 1 if one broke or the run failed,\n" +
 			"and 2 for a bad file. Progress goes to standard error.",
 		RunE: func(c *cobra.Command, args []string) error {
+			kind, err := lab.Kind(args[0])
+			if err != nil {
+				return status{bad, err}
+			}
+			if kind != "" {
+				return membersRun(c, program, args[0], asJSON, out, say)
+			}
 			e, err := lab.Load(args[0])
 			if err != nil {
 				return status{bad, err}
 			}
+			if c.Flags().Changed("seed") {
+				e.Seed, _ = c.Flags().GetUint64("seed")
+			}
 			return experiment(c.Context(), program, e, asJSON, out, say)
 		}}
+	play.Flags().Uint64("seed", 0, "in place of the file's")
 	play.Flags().BoolVar(&asJSON, "json", false, "print one JSON object and nothing else on standard output")
 	demo := &cobra.Command{Use: "demo", Short: "Run a small fleet for some seconds and tell what happens", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -238,6 +249,36 @@
 	return nil
 }
 
+// membersRun plays a run of members, whose faults are drawn from the seed.
+func membersRun(c *cobra.Command, program, path string, asJSON bool, out io.Writer, say func(string)) error {
+	e, err := lab.LoadMembers(path)
+	if err != nil {
+		return status{bad, err}
+	}
+	if c.Flags().Changed("seed") {
+		e.Seed, _ = c.Flags().GetUint64("seed")
+	}
+	if program, err = balancerAt(program); err != nil {
+		return err
+	}
+	result, err := lab.Members(c.Context(), program, e, say)
+	if err != nil {
+		return status{broken, err}
+	}
+	if asJSON {
+		err = json.NewEncoder(out).Encode(result)
+	} else {
+		err = result.Table(out)
+	}
+	if err != nil {
+		return status{broken, err}
+	}
+	if !result.Sound() {
+		return status{missed, errors.New("aims missed: " + strings.Join(result.Missed, "; "))}
+	}
+	return nil
+}
+
 // scaleRun plays a scale run; this program is its processes of hollow balancers too.
 func scaleRun(ctx context.Context, program string, e lab.ScaleExperiment, asJSON bool, out io.Writer, say func(string)) error {
 	program, err := balancerAt(program)
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -4,6 +4,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"context"
 	_ "embed"
 	"encoding/json"
 	"errors"
@@ -53,9 +55,15 @@
 	Room     int     `json:"room"`
 	Balancer int     `json:"balancer"`
 	Share    float64 `json:"share"`
+
+	label string                      // of one that a run draws itself,
+	act   func(context.Context) error // and what it does; nil: it is one of the file's
 }
 
 func (t Trouble) String() string {
+	if t.act != nil {
+		return t.label
+	}
 	switch t.Do {
 	case "drain", "return", "crash":
 		return fmt.Sprintf("%s room server s-%d", t.Do, t.Room)
@@ -115,10 +123,16 @@
 			return e, fmt.Errorf("troubles/%d/at_s: %v is after the end, %v", i, t.At, e.Seconds)
 		}
 	}
-	slices.SortStableFunc(e.Troubles, func(a, b Trouble) int { return int((a.At - b.At) * 1e6) })
+	e.Troubles = sortTroubles(e.Troubles)
 	return e, nil
 }
 
+// sortTroubles puts the earliest first.
+func sortTroubles(all []Trouble) []Trouble {
+	slices.SortStableFunc(all, func(a, b Trouble) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
 func compiled(name string, raw []byte) (*jsonschema.Schema, error) {
 	text, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
 	if err != nil {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -26,6 +26,13 @@
 	stopWait  = 6 * time.Second  // from SIGTERM to the end
 )
 
+// What a room server bears while it is cold, as the balancers' settings say.
+const (
+	coldShare    = 0.4
+	coldFor      = 6 * time.Second
+	fallMultiple = 4
+)
+
 // balancer is one process.
 type balancer struct {
 	name       string
@@ -100,8 +107,8 @@
 			"profiles": []any{map[string]any{"name": "solo-play", "aim_s": 0.3, "give_up_s": patience, "repeat": "idempotent"}},
 			"limits": map[string]any{"connect_timeout_s": 0.25, "retry_after": true, "max_retry_after_s": 1.5, "may_probe": !at.quiet,
 				"most_tries": 3},
-			"rules": map[string]any{"must_ask_in_s": 10, "drain_grace_s": drainGrace.Seconds(), "cold_share": 0.4, "cold_s": 6,
-				"fall_multiple": 4, "fall_s": 1},
+			"rules": map[string]any{"must_ask_in_s": 10, "drain_grace_s": drainGrace.Seconds(), "cold_share": coldShare, "cold_s": coldFor.Seconds(),
+				"fall_multiple": fallMultiple, "fall_s": 1},
 			"penalties": map[string]any{"probe": 0.0018, "moves": 0.019, "cross_zone": 0.16},
 			"specifics": map[string]any{"groups": true, "message_aim_s": []float64{0.06}}}}
 }
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -31,10 +31,7 @@
 		return Result{}, err
 	}
 	defer os.RemoveAll(dir)
-	r := &run{e: e, program: program, dir: dir, say: say, recorder: rules.NewRecorder(rules.Figures{DrainGrace: drainGrace,
-		Slack: ruleSlack}), front: standin.NewFront(e.Seed), killed: map[string]bool{}, ended: map[string]bool{}, broke: map[string]int{}, keys: keys{path: filepath.Join(dir, "keys.json")},
-		result: Result{Name: e.Name, Tokens: e.Tokens, Sessions: e.Sessions, Reasons: map[string]int{}, Balancers: map[string]uint64{}},
-		took:   hdrhistogram.New(1, 60_000_000, 3)}
+	r := newRun(program, dir, e, say)
 	defer r.close()
 	if err := r.open(ctx); err != nil {
 		return r.result, err
@@ -43,6 +40,16 @@
 	return r.result, err
 }
 
+// newRun returns an experiment that open starts.
+func newRun(program, dir string, e Experiment, say func(string)) *run {
+	return &run{e: e, program: program, dir: dir, say: say,
+		recorder: rules.NewRecorder(rules.Figures{DrainGrace: drainGrace, Slack: ruleSlack}), front: standin.NewFront(e.Seed),
+		killed: map[string]bool{}, ended: map[string]bool{}, broke: map[string]int{}, keys: keys{path: filepath.Join(dir, "keys.json")},
+		result:  Result{Name: e.Name, Tokens: e.Tokens, Sessions: e.Sessions, Reasons: map[string]int{}, Balancers: map[string]uint64{}},
+		took:    hdrhistogram.New(1, 60_000_000, 3),
+		prepare: func(int, *balancer) error { return nil }, started: func(int) {}}
+}
+
 // run is one experiment while it is played.
 type run struct {
 	e         Experiment
@@ -64,6 +71,9 @@
 	broke     map[string]int  // connections, by balancer
 	asked     int             // balancers whose figures were read
 
+	prepare func(i int, b *balancer) error // called before a balancer's first start
+	started func(i int)                    // called as its processes start
+
 	mu     sync.Mutex // of what the tally's functions write
 	took   *hdrhistogram.Histogram
 	result Result
@@ -111,6 +121,10 @@
 		if err != nil {
 			return err
 		}
+		if err := r.prepare(i, b); err != nil {
+			return err
+		}
+		r.started(i)
 		if err := b.start(ctx); err != nil {
 			return err
 		}
@@ -289,6 +303,9 @@
 
 // trouble makes one thing go wrong.
 func (r *run) trouble(ctx context.Context, t Trouble) error {
+	if t.act != nil {
+		return t.act(ctx)
+	}
 	switch t.Do {
 	case "drain":
 		room := r.rooms[t.Room]
@@ -323,6 +340,7 @@
 			}
 		}
 		r.recorder.Add(rules.Event{Kind: rules.Fresh, Balancer: b.name})
+		r.started(t.Balancer)
 		if err := b.start(ctx); err != nil {
 			return err
 		}
