--- a/cmd/cottonplank/membership_test.go
+++ b/cmd/cottonplank/membership_test.go
@@ -18,7 +18,6 @@
 type memberFleet struct {
 	t         *testing.T
 	dir       string
-	seed      string
 	addresses []string // of the gossip
 	listens   []string // of the clients
 }
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -56,20 +56,29 @@
 	return nil
 }
 
+// fieldError names a field of a class whose value is faulty, and says why.
+type fieldError struct{ field, problem string }
+
+func (e fieldError) Error() string { return e.field + " " + e.problem }
+
+func faulty(field, problem string, values ...any) error {
+	return fieldError{field, fmt.Sprintf(problem, values...)}
+}
+
 func (c *Class) validate() error {
 	switch {
 	case c.Aim <= 0:
-		return fmt.Errorf("Aim is %v, must be above 0", c.Aim)
+		return faulty("Aim", "is %v, must be above 0", c.Aim)
 	case c.MessageAim < 0:
-		return fmt.Errorf("MessageAim is %v, below 0", c.MessageAim)
+		return faulty("MessageAim", "is %v, below 0", c.MessageAim)
 	case c.GiveUp < 0:
-		return fmt.Errorf("GiveUp is %v, below 0", c.GiveUp)
+		return faulty("GiveUp", "is %v, below 0", c.GiveUp)
 	case c.Repeat > Unsafe:
-		return fmt.Errorf("Repeat is %d, not a known kind", c.Repeat)
+		return faulty("Repeat", "is %d, not a known kind", c.Repeat)
 	case c.Scope > ScopeCell:
-		return fmt.Errorf("Scope is %d, not a known one", c.Scope)
+		return faulty("Scope", "is %d, not a known one", c.Scope)
 	case c.Window < 0:
-		return fmt.Errorf("Window is %v, below 0", c.Window)
+		return faulty("Window", "is %v, below 0", c.Window)
 	}
 	return nil
 }
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 )
 
 const (
@@ -53,7 +54,7 @@
 	switch {
 	case err == nil || errors.Is(err, fs.ErrNotExist):
 		return state
-	case errors.Is(err, bbolt.ErrTimeout):
+	case errors.Is(err, bbolterrors.ErrTimeout):
 		s.log.WithError(err).Warn("control: the saved state is in another process's hands, starting without it")
 	default:
 		s.setAside(err)
@@ -154,7 +155,7 @@
 			return b.Put(stateKey, append(sum, body...))
 		})
 	}
-	if err = guarded(write); err == nil || errors.Is(err, bbolt.ErrTimeout) {
+	if err = guarded(write); err == nil || errors.Is(err, bbolterrors.ErrTimeout) {
 		return err
 	}
 	if _, gone := os.Stat(s.path); gone != nil { // no file, and none can be made
--- a/internal/resume/model_test.go
+++ b/internal/resume/model_test.go
@@ -34,9 +34,8 @@
 }
 
 type room struct {
-	name   string
-	l      *ledger.Ledger
-	leaves bool
+	name string
+	l    *ledger.Ledger
 }
 
 // run is one request of a client at one balancer.
