Let the decisions go by the membership's count in place of the settings' number

FleetSize is an event of the decisions: how many balancers share the fleet's and the zone's budgets, and whether all others count this one. Polls, probes, the way back to discovery and what a cold server may be sent follow it; one that is not admitted sends a cold server nothing. With a count the estimate from held connections may only raise the number of sharers.

--- a/cmd/cottonplank/main.go
+++ b/cmd/cottonplank/main.go
@@ -117,10 +117,6 @@
 	if err != nil {
 		return fmt.Errorf("fronts: control.%w", err)
 	}
-	cluster, err := newCluster(fronts.Membership, cfg.Settings.Balancers, log)
-	if err != nil {
-		return err
-	}
 	path := handover.Path(os.TempDir(), cfg.Listen)
 	sockets, predecessor := handover.Take(path, log)
 	sockets.Offer(supervise.Sockets())
@@ -131,6 +127,10 @@
 	if err != nil {
 		return err
 	}
+	cluster, err := newCluster(fronts.Membership, cfg.Settings, module.FleetSize, log)
+	if err != nil {
+		return err
+	}
 	listener, err := sockets.ListenTCP("clients", cfg.Listen)
 	if err != nil {
 		return err
--- a/cmd/cottonplank/membership.go
+++ b/cmd/cottonplank/membership.go
@@ -7,7 +7,9 @@
 	"runtime/debug"
 	"time"
 
+	"cottonplank/decide"
 	"cottonplank/internal/cluster/gossip"
+	"cottonplank/internal/cluster/membership"
 	"cottonplank/internal/config"
 	"cottonplank/internal/core"
 	"cottonplank/internal/management"
@@ -19,7 +21,7 @@
 const serviceEvery = 100 * time.Millisecond
 
 // newCluster returns the membership that a fronts file asks for; nil: it asks for none.
-func newCluster(m config.Membership, balancers int, log *logrus.Logger) (*gossip.Cluster, error) {
+func newCluster(m config.Membership, settings decide.Settings, use func(decide.FleetSize), log *logrus.Logger) (*gossip.Cluster, error) {
 	if m.Name == "" {
 		return nil, nil
 	}
@@ -27,7 +29,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("fronts: membership.%w", err)
 	}
-	return gossip.New(gossip.Config{Settings: m, Ring: ring, Balancers: balancers, Version: programVersion(), Log: log}), nil
+	return gossip.New(gossip.Config{Settings: m, Ring: ring, Balancers: settings.Balancers, Version: programVersion(), Log: log,
+		OnView: func(view *membership.View) { use(fleetSize(view, settings)) }}), nil
+}
+
+// fleetSize is what the decisions go by: the membership's count, or the settings' number where the instance is no member.
+func fleetSize(view *membership.View, settings decide.Settings) decide.FleetSize {
+	if view == nil {
+		return decide.NamedFleetSize(settings)
+	}
+	return decide.FleetSize{Fleet: view.Sharing.Cluster, Zone: view.Sharing.Zone, Admitted: view.Sharing.Admitted}
 }
 
 func programVersion() string {
--- a/decide/api.go
+++ b/decide/api.go
@@ -205,6 +205,14 @@
 		Report Report
 	}
 
+	// FleetSize tells among how many balancers the fleet's budgets are divided from now on, as the cluster's membership counts
+	// them. Until it comes, Settings.Balancers holds.
+	FleetSize struct {
+		Fleet    int  // balancers in all; 1 at least
+		Zone     int  // of these, the ones that share the own zone; 1 at least
+		Admitted bool // all others count this balancer: it may use its part of what a cold server bears
+	}
+
 	// TimerFired is due for each SetTimer.
 	TimerFired struct{ Token uint64 }
 )
@@ -274,6 +282,7 @@
 func (Expired) event()      {}
 func (ClientGone) event()   {}
 func (Probed) event()       {}
+func (FleetSize) event()    {}
 func (TimerFired) event()   {}
 
 func (Place) action()     {}
--- a/decide/cold.go
+++ b/decide/cold.go
@@ -92,7 +92,7 @@
 	return max(mean, storm*came/window+(1-storm)*usual)
 }
 
-// sharers is how many balancers share the zone: as told, within what its servers hold over what this one does, give or
+// sharers is how many balancers share the zone: as the membership counts them at least, else as told, within what its servers hold over what this one does, give or
 // take what that is by chance. Guards against a fleet that has grown, or shrunk, since it was told its size.
 func (b *Balancer) sharers() float64 {
 	held, own, told := b.near.heldInAll(), 0.0, b.near.told
@@ -104,7 +104,7 @@
 	}
 	held *= float64(len(b.local)) / float64(told)
 	chance, most := math.Sqrt(own), b.peers()
-	if own > chance {
+	if own > chance && !b.fleet.counted {
 		most = min(most, held/(own-chance))
 	}
 	return max(most, held/(own+chance+1), 1)
--- a/decide/cold_fleet_test.go
+++ b/decide/cold_fleet_test.go
@@ -17,6 +17,8 @@
 	name     string
 	modules  int
 	told     int           // settings.balancers; 0: the truth, below 0: not told
+	counted  bool          // the membership counts them, whatever the settings say,
+	barred   bool          // and admits none
 	rooms    int           // warm ones of each zone
 	cold     int           // of zone a
 	lostFor  time.Duration // so long these were lost, and their clients with them; 0: they join beside the others
@@ -146,6 +148,9 @@
 	}
 	m := &coldModule{Balancer: b, zone: zone, conns: map[RequestID]*coldRoom{}, tries: map[RequestID]int{}, group: map[RequestID]string{}}
 	f.handle(m, Started{})
+	if f.counted {
+		f.handle(m, FleetSize{Fleet: f.coldCase.modules, Zone: (f.coldCase.modules + 1) / 2, Admitted: !f.barred})
+	}
 	f.handle(m, ListReceived{Kind: ListFull, Servers: f.list})
 	return m
 }
@@ -493,6 +498,11 @@
 	{name: "300 drop told 30", modules: 300, told: 30, rooms: 15, cold: 2, groups: 40, holds: 60, load: 0.5, burst: 1, drop: 7},
 	{name: "300 drop none grouped", modules: 300, rooms: 15, cold: 2, holds: 60, load: 0.5, burst: 1, drop: 7},
 	{name: "300 full told 30 none grouped", modules: 300, told: 30, rooms: 15, cold: 2, holds: 60, load: 0.7, burst: 3},
+	{name: "300 counted", modules: 300, told: 30, counted: true, rooms: 15, cold: 2, groups: 40, holds: 60, load: 0.5, burst: 2},
+	{name: "300 counted uneven crowds none grouped", modules: 300, told: 30, counted: true, rooms: 15, cold: 2, holds: 60, load: 0.6, burst: 3, uneven: true, crowds: true},
+	{name: "300 counted told 3000 restarts", modules: 300, told: 3000, counted: true, rooms: 15, cold: 2, groups: 40, holds: 60, load: 0.5, burst: 2, restarts: 0.5},
+	{name: "300 counted drop none grouped", modules: 300, told: 30, counted: true, rooms: 15, cold: 2, holds: 60, load: 0.5, burst: 1, drop: 7},
+	{name: "3 counted told 30", modules: 3, told: 30, counted: true, rooms: 6, cold: 1, groups: 20, holds: 60, load: 0.5, burst: 2},
 	{name: "3 told 30", modules: 3, told: 30, rooms: 6, cold: 1, groups: 20, holds: 60, load: 0.5, burst: 2},
 	{name: "30 told 3", modules: 30, told: 3, rooms: 10, cold: 1, groups: 20, holds: 60, load: 0.5, burst: 2},
 	{name: "30 told 3 none grouped", modules: 30, told: 3, rooms: 10, cold: 1, holds: 60, load: 0.5, burst: 2},
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -85,7 +85,7 @@
 
 // period spreads the calls of all balancers over what one list service can answer.
 func (b *Balancer) period() time.Duration {
-	return max(pollBase, b.set.Rules.MustAsk) + time.Duration(b.set.Balancers)*pollEach
+	return max(pollBase, b.set.Rules.MustAsk) + time.Duration(b.fleet.Fleet)*pollEach
 }
 
 // poll makes the period's one call: the cheap one where a subscription brings only changes.
@@ -353,7 +353,7 @@
 
 // askAfter is how long a report counts for what depends on it: the more balancers place by it, the shorter.
 func (b *Balancer) askAfter() time.Duration {
-	return max(askLeast, min(askMost, askFleet/time.Duration(b.set.Balancers)))
+	return max(askLeast, min(askMost, askFleet/time.Duration(b.fleet.Fleet)))
 }
 
 func (b *Balancer) cold(s *server) bool { return s.Started > 0 && b.now-s.Started < b.set.Rules.Cold }
@@ -361,8 +361,8 @@
 // warmEnough keeps this balancer within its part of what a cold server may be sent. The part is drawn anew
 // for each time in which a server can fall over: parts saved up by many would fall on it together.
 func (b *Balancer) warmEnough(r *request, s *server) bool {
-	if !b.cold(s) || s.Zone != b.set.Zone {
-		return !b.cold(s) // its budget is shared out among the balancers of its own zone
+	if !b.cold(s) || s.Zone != b.set.Zone || !b.fleet.Admitted {
+		return !b.cold(s) // its budget is shared out among the balancers of its own zone that are admitted
 	}
 	b.countDemand(r, s)
 	rules := b.set.Rules
@@ -371,7 +371,7 @@
 		part := rules.ColdShare + (1-rules.ColdShare)*age
 		span := max(rules.Fall, tick)
 		comes, sharers := b.comesFor(r, s, span), b.sharers()
-		work := max(part*b.takes()*span.Seconds(), coldLeast/max(float64(b.set.Balancers), sharers))
+		work := max(part*b.takes()*span.Seconds(), coldLeast/max(float64(b.fleet.Fleet), sharers))
 		use := comes / (1 + comes) // the part of such times in which one comes for it
 		mine := coldSafety / max(use, coldUseLeast) * rules.FallMultiple * work
 		if each := b.each(); each > 0 {
@@ -598,7 +598,7 @@
 	own, near := b.held, b.local
 	least := probeLeast
 	if len(own) == 0 { // nothing to watch over: all such together probe as a few do
-		least *= min(1, probeFew/float64(b.set.Balancers))
+		least *= min(1, probeFew/float64(b.fleet.Fleet))
 	}
 	rate := max(least, worth*probeShare/cmp.Or(b.set.Prices.Probe, math.Inf(1)))
 	away, unseen, hot := b.remote, b.far.unseen, [2]ordered{b.far.held, b.near.laden}
--- a/decide/reach.go
+++ b/decide/reach.go
@@ -35,6 +35,13 @@
 	return r
 }
 
+// Spread takes over another size of the fleet.
+func (r *Reach) Spread(balancers int) {
+	if r.spread > 0 {
+		r.spread = time.Duration(balancers) * callEach
+	}
+}
+
 // Dial is when to dial, where an attempt that has failed by now was begun at some time.
 func (r Reach) Dial(begun, now time.Duration) time.Duration {
 	if r.spread == 0 {
--- a/decide/state.go
+++ b/decide/state.go
@@ -76,6 +76,7 @@
 	now time.Duration
 	out []Action
 
+	fleet fleetShare
 	index
 	lists               uint64        // counts the lists that came
 	next                int           // rotates the cache order
@@ -123,13 +124,11 @@
 		set: set, rng: rand.New(rand.NewPCG(set.Seed, 0x9e3779b97f4a7c15)),
 		index: newIndex(), requests: map[RequestID]*request{}, bySeq: map[uint64]*request{},
 		memories: map[string]memory{}, loads: make([]float64, len(set.Classes)+1), mean: 0.5,
-		seq: timerHeld, window: windowMost / 4,
+		seq: timerHeld, window: windowMost / 4, fleet: fleetShare{FleetSize: NamedFleetSize(set)},
 	}
-	// A report shows what the others of the zone have placed half a second late; own placements are booked at once.
 	b.near, b.far = &b.zones[0], &b.zones[1]
-	hidden := hiddenLoad * (1 - 1/b.peers())
 	b.gap = gapPrice * set.Prices.CrossZone
-	b.roomy, b.full = roomyLoad-hidden, fullLoad-hidden/2
+	b.setMargins()
 	return b, nil
 }
 
@@ -162,6 +161,8 @@
 		b.forget(b.requests[ev.ID])
 	case Probed:
 		b.probed(ev)
+	case FleetSize:
+		b.fleetSize(ev)
 	case TimerFired:
 		b.timer(ev.Token)
 	}
@@ -270,9 +271,6 @@
 	return cmp.Compare(s.groups[x.Group]/int(b.peers()), s.groups[y.Group]/int(b.peers()))
 }
 
-// peers is how many balancers are taken to share the zone.
-func (b *Balancer) peers() float64 { return float64(max(1, b.set.Balancers/max(len(b.set.Zones), 1))) }
-
 // booking is a placement's share of a server's load.
 type booking struct {
 	r     *request
--- a/internal/cluster/gossip/cluster.go
+++ b/internal/cluster/gossip/cluster.go
@@ -39,7 +39,8 @@
 	Balancers int    // instances that the settings name
 	Version   string // of the program
 	Log       *logrus.Logger
-	// OnView is called with each new view, from the cluster's goroutine; nil: nobody is told.
+	// OnView is called with each new view, and with nil when the instance is no member any more, from the cluster's goroutine; nil:
+	// nobody is told.
 	OnView func(*membership.View)
 }
 
@@ -167,7 +168,7 @@
 	if c.session == nil {
 		return
 	}
-	c.view.Store(nil)
+	c.publish(nil)
 	if c.silent.Load() {
 		c.session.close()
 	} else {
@@ -193,11 +194,15 @@
 	if before == now {
 		return
 	}
-	c.view.Store(now)
+	c.publish(now)
 	logChanges(c.cfg.Log, before, now)
 	c.session.describe(now.Sharing)
+}
+
+func (c *Cluster) publish(view *membership.View) {
+	c.view.Store(view)
 	if c.cfg.OnView != nil {
-		c.cfg.OnView(now)
+		c.cfg.OnView(view)
 	}
 }
 
--- a/internal/core/module.go
+++ b/internal/core/module.go
@@ -245,6 +245,14 @@
 	}
 }
 
+// FleetSize tells among how many balancers the fleet's budgets are divided from now on.
+func (m *Module) FleetSize(size decide.FleetSize) {
+	m.post(func() {
+		m.reach.times.Spread(size.Fleet)
+		m.handle(size)
+	})
+}
+
 // ---- probes
 
 func (m *Module) probe(server decide.ServerID) {
--- a/internal/lab/members_check.go
+++ b/internal/lab/members_check.go
@@ -52,6 +52,7 @@
 	SizeBelowLive int
 	ViewsBack     int
 	Detect        []float64 // milliseconds, for each kill: until all that could tell did
+	Suspect       []float64 // the same until all had the detector's report, which is not confirmed yet
 	Left          []float64 // the same for planned stops
 	Agree         float64   // milliseconds from the end of the last fault until all told the truth for good
 }
@@ -102,6 +103,7 @@
 	case memberKilled:
 		c.end(e.Member)
 		if !c.startsWithin(i, detectWithin) {
+			c.found.Suspect = append(c.found.Suspect, c.untilAllSay(i, membership.Suspect, detectWithin))
 			c.found.Detect = append(c.found.Detect, c.untilAllSay(i, membership.Failed, detectWithin))
 		}
 	case memberStopped:
--- a/internal/lab/members_result.go
+++ b/internal/lab/members_result.go
@@ -20,6 +20,7 @@
 	Partitions   int      `json:"partitions"`
 	LossPercent  float64  `json:"loss_percent"` // the largest, on all paths
 	FalseFailed  int      `json:"false_failed"`
+	SuspectP99   float64  `json:"suspect_ms_p99"` // until the detector's report, of which detect_ms counts from the same kill
 	DetectP50    float64  `json:"detect_ms_p50"`
 	DetectP99    float64  `json:"detect_ms_p99"`
 	Left         float64  `json:"left_ms_max"`
@@ -54,7 +55,7 @@
 	found := checkMembers(m.e.Instances, m.events)
 	played := m.base.result
 	r := MembersResult{Name: m.e.Name, Seed: m.e.Seed, Instances: m.e.Instances, Faults: len(m.faults), FalseFailed: len(found.FalseFailed),
-		DetectP50: quantile(found.Detect, 0.5), DetectP99: quantile(found.Detect, 0.99), Left: quantile(found.Left, 1), Agree: found.Agree,
+		SuspectP99: quantile(found.Suspect, 0.99), DetectP50: quantile(found.Detect, 0.5), DetectP99: quantile(found.Detect, 0.99), Left: quantile(found.Left, 1), Agree: found.Agree,
 		SizeBelow: found.SizeBelowLive, ViewsBack: found.ViewsBack, GossipBytes: quantile(m.bytes, 0.99), GossipCPU: cpu,
 		Answers: played.Answers, LostAnswers: played.LostAnswers, Broken: played.Broken}
 	for _, f := range m.faults {
@@ -132,7 +133,7 @@
 	}{
 		{"instances", r.Instances}, {"faults", r.Faults}, {"pauses", r.Pauses}, {"one-way cuts", r.OneWayCuts}, {"partitions", r.Partitions},
 		{"loss, percent", r.LossPercent}, {"failed falsely", r.FalseFailed},
-		{"ms to detect, median", r.DetectP50}, {"ms to detect, 99 %", r.DetectP99}, {"ms until a stop is told", r.Left},
+		{"ms to suspect, 99 %", r.SuspectP99}, {"ms to detect, median", r.DetectP50}, {"ms to detect, 99 %", r.DetectP99}, {"ms until a stop is told", r.Left},
 		{"ms until all agree", r.Agree}, {"sizes below the live ones", r.SizeBelow}, {"views that went back", r.ViewsBack},
 		{"cold room servers pushed over", r.ColdOver}, {"bytes/s of gossip, 99 %", r.GossipBytes}, {"ms/s of processor time, at most", r.GossipCPU},
 		{"answers", r.Answers}, {"lost", r.LostAnswers}, {"rules broken", r.RulesBroken},
