Confirm failures by own probes, and join lost members that answer

Own probes of suspects (up to four a second) confirm after 1.5 s if two brought no answer; a lost member that answers is joined at once, drawn so that some twenty a second do so in a cluster of any size; attempts are spaced by the live members.

--- a/internal/cluster/gossip/cluster.go
+++ b/internal/cluster/gossip/cluster.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -32,6 +33,13 @@
 	conflictAsks = 3                      // questions to the other live process of the same name
 )
 
+// Counts of the carrier.
+const (
+	suspectsProbed  = 4  // at once
+	turnsAtOnce     = 20 // instances of the whole cluster that probe a failed member, or join one that is back, in a second
+	addressesAtOnce = 4  // of an attempt to join
+)
+
 // Config is what a Cluster starts with.
 type Config struct {
 	Settings  config.Membership
@@ -307,28 +315,49 @@
 	}
 }
 
-// probe asks one member that is alive, and one that is suspect, whether both directions work.
+// probe asks a member that is alive, some that are suspect and one that has failed, whether both directions work.
 func (s *session) probe() {
 	if !s.probing.CompareAndSwap(false, true) {
 		return
 	}
-	view := s.machine.View()
-	var targets []membership.Member
-	for _, state := range []membership.State{membership.Alive, membership.Suspect} {
-		if m, ok := pick(view.Members, s.cluster.cfg.Settings.Name, state); ok {
-			targets = append(targets, m)
-		}
+	members, self := s.machine.View().Members, s.cluster.cfg.Settings.Name
+	targets := pick(members, self, membership.Alive, 1)
+	targets = append(targets, pick(members, self, membership.Suspect, suspectsProbed)...)
+	if s.isTurn() {
+		targets = append(targets, pick(members, self, membership.Failed, 1)...)
 	}
 	go func() {
 		defer s.probing.Store(false)
 		var all sync.WaitGroup
 		for _, m := range targets {
-			all.Go(func() { s.ask(m.Name, m.Address) })
+			all.Go(func() { s.probeOne(m) })
 		}
 		all.Wait()
 	}()
 }
 
+// probeOne probes a member. A lost one that answers is joined, so that it hears what is said of it and refutes that.
+func (s *session) probeOne(m membership.Member) {
+	answered := s.ask(m.Name, m.Address)
+	switch {
+	case !answered:
+		s.events.put(membership.Unanswered{Name: m.Name})
+	case m.State != membership.Alive && s.isTurn():
+		s.join([]string{m.Address})
+	}
+}
+
+// isTurn draws the instances that do something of which a few in the whole cluster are enough.
+func (s *session) isTurn() bool { return rand.IntN(max(1, s.alive())) < turnsAtOnce }
+
+// join merges states with whoever is at these addresses, unless another join is under way.
+func (s *session) join(addresses []string) {
+	if s.joining.CompareAndSwap(false, true) {
+		defer s.joining.Store(false)
+		s.list.Join(addresses) // a failure is tried again
+	}
+}
+
 // ask probes a member and tells whether it answered.
 func (s *session) ask(name, address string) bool {
 	to, err := net.ResolveUDPAddr("udp", address)
@@ -342,31 +371,28 @@
 	return true
 }
 
-// reconnect tries to join a seed or a lost member, as long as one is missing.
+// reconnect tries to join seeds and lost members, as long as one is missing.
 func (s *session) reconnect(now time.Time) {
-	target, missing := s.missing()
-	if !missing {
+	missing := s.missing()
+	if len(missing) == 0 {
 		s.attempts.reset()
 		return
 	}
-	if !s.attempts.next(now) || !s.joining.CompareAndSwap(false, true) {
-		return
+	if s.attempts.next(now, time.Duration(s.alive())*attemptEach) {
+		go s.join(missing)
 	}
-	go func() {
-		defer s.joining.Store(false)
-		s.list.Join([]string{target}) // a failure is tried again
-	}()
 }
 
-// missing picks one of the addresses at which a member should be and none is alive.
-func (s *session) missing() (string, bool) {
+// missing picks some of the addresses at which a member should be and none is alive.
+func (s *session) missing() []string {
+	view := s.machine.View()
 	alive, candidates := map[string]bool{}, []string{}
-	for _, m := range s.machine.View().Members {
+	for _, m := range view.Members {
 		if m.State == membership.Alive {
 			alive[m.Address] = true
 		}
 	}
-	for _, m := range s.machine.View().Members {
+	for _, m := range view.Members {
 		if (m.State == membership.Suspect || m.State == membership.Failed) && !alive[m.Address] {
 			candidates = append(candidates, m.Address)
 		}
@@ -376,7 +402,8 @@
 			candidates = append(candidates, seed.String())
 		}
 	}
-	return pickAddress(candidates)
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return candidates[:min(addressesAtOnce, len(candidates))]
 }
 
 // describe tells the others a changed divisor.
--- a/internal/cluster/gossip/queue.go
+++ b/internal/cluster/gossip/queue.go
@@ -34,23 +34,19 @@
 	return all
 }
 
-// pick chooses one of the other members in a state by chance.
-func pick(members []membership.Member, self string, state membership.State) (chosen membership.Member, found bool) {
+// pick chooses some of the other members in a state by chance.
+func pick(members []membership.Member, self string, state membership.State, most int) (chosen []membership.Member) {
 	n := 0
 	for _, m := range members {
 		if m.Name == self || m.State != state {
 			continue
 		}
-		if n++; rand.IntN(n) == 0 {
-			chosen, found = m, true
+		n++
+		if len(chosen) < most {
+			chosen = append(chosen, m)
+		} else if i := rand.IntN(n); i < most { // each of the n so far with the same chance
+			chosen[i] = m
 		}
 	}
-	return chosen, found
-}
-
-func pickAddress(all []string) (string, bool) {
-	if len(all) == 0 {
-		return "", false
-	}
-	return all[rand.IntN(len(all))], true
+	return chosen
 }
--- a/internal/cluster/membership/config.go
+++ b/internal/cluster/membership/config.go
@@ -12,7 +12,7 @@
 	Alone     bool          // no peers are configured: the instance waits for none
 	WallClock time.Duration // since the epoch, at the machine's time 0
 
-	Confirm       time.Duration // a reported failure is a suspicion for so long at least
+	Confirm       time.Duration // a reported failure is a suspicion for so long, unless own probes confirm it before
 	PauseAfter    time.Duration // a gap of this length between two ticks is a pause of the own process
 	IsolatedAfter time.Duration // without any answer for so long the instance is isolated
 	Detection     time.Duration // within this the detector reports every failure, and a join reaches every member
@@ -31,8 +31,10 @@
 )
 
 const (
-	answersNeeded     = 3  // distinct members that have to answer before a failure is confirmed,
-	answersAfterWake  = 10 // and after a pause of the own process: a round of probes
+	unansweredNeeded  = 2                       // own probes of a suspect without an answer confirm its failure before Config.Confirm,
+	confirmLeast      = 1500 * time.Millisecond // but not before this: a refutation takes two or three gossip rounds of 0.2 s each way
+	answersNeeded     = 3                       // distinct members that have to answer before a failure is confirmed,
+	answersAfterWake  = 10                      // and after a pause of the own process: a round of probes
 	mostPartitionPart = 0.5
 	futureLeeway      = time.Minute // by which another clock may be ahead
 )
--- a/internal/cluster/membership/machine.go
+++ b/internal/cluster/membership/machine.go
@@ -31,10 +31,11 @@
 // record is what the machine keeps of another member.
 type record struct {
 	Member
-	lostAt    time.Duration       // since when the failure that the detector reported has been held unconfirmed
-	lostFirst time.Duration       // when the detector first reported it
-	answered  map[string]struct{} // members that have answered since
-	endedAt   time.Duration       // when it left
+	lostAt     time.Duration       // since when the failure that the detector reported has been held unconfirmed
+	lostFirst  time.Duration       // when the detector first reported it
+	answered   map[string]struct{} // members that have answered since
+	unanswered int                 // own probes since, that brought no answer
+	endedAt    time.Duration       // when it left
 }
 
 // New returns the machine of an instance that knows no other member.
@@ -66,6 +67,8 @@
 		m.left(event.Name, event.Incarnation)
 	case Answered:
 		m.answered(event.Name)
+	case Unanswered:
+		m.unanswered(event.Name)
 	case Tick:
 		m.tick()
 	}
@@ -110,6 +113,7 @@
 func (m *Machine) holdAgain(r *record) {
 	r.lostAt = m.now
 	r.answered = map[string]struct{}{}
+	r.unanswered = 0
 }
 
 // left takes a planned stop at once: only the member itself can announce it.
@@ -144,6 +148,13 @@
 	}
 }
 
+// unanswered notes that an own probe of a suspect brought no answer.
+func (m *Machine) unanswered(name string) {
+	if r := m.members[name]; r != nil && r.State == Suspect {
+		r.unanswered++
+	}
+}
+
 func (m *Machine) tick() {
 	if m.now-m.lastTick > m.cfg.PauseAfter {
 		m.woke()
@@ -181,7 +192,8 @@
 	}
 	for _, r := range m.members {
 		held := m.now - r.lostAt
-		if r.State == Suspect && held >= m.cfg.Confirm && len(r.answered) >= min(answersNeeded, others) {
+		longEnough := held >= m.cfg.Confirm || held >= confirmLeast && r.unanswered >= unansweredNeeded
+		if r.State == Suspect && longEnough && len(r.answered) >= min(answersNeeded, others) {
 			r.State = Failed
 		}
 	}
--- a/internal/cluster/membership/machine_test.go
+++ b/internal/cluster/membership/machine_test.go
@@ -110,6 +110,23 @@
 	}
 }
 
+// Own probes without an answer confirm a failure sooner; those before a pause of the own process do not count.
+func TestOwnProbesConfirmSooner(t *testing.T) {
+	d := newDriver(t, 19)
+	d.lose("m03", "m04")
+	for _, name := range []string{"m03", "m03", "m04"} {
+		d.m.Handle(d.now, Unanswered{name})
+	}
+	d.run(2 * time.Second)
+	d.want("m03", Failed)
+	d.want("m04", Suspect)
+	d.now += 5 * time.Second // stopped
+	d.m.Handle(d.now, Tick{})
+	d.m.Handle(d.now, Unanswered{"m04"})
+	d.run(2 * time.Second)
+	d.want("m04", Suspect)
+}
+
 // A suspect that answers this instance's own probes is not confirmed, whatever the detector says.
 func TestSuspectThatAnswersIsNotConfirmed(t *testing.T) {
 	d := newDriver(t, 19)
--- a/internal/cluster/membership/membership.go
+++ b/internal/cluster/membership/membership.go
@@ -80,6 +80,9 @@
 	// Answered says that a member answered a probe of this instance.
 	Answered struct{ Name string }
 
+	// Unanswered says that a member did not answer a probe of this instance in time.
+	Unanswered struct{ Name string }
+
 	// Tick is due every TickInterval.
 	Tick struct{}
 )
@@ -88,6 +91,7 @@
 func (MemberLost) event()  {}
 func (MemberLeft) event()  {}
 func (Answered) event()    {}
+func (Unanswered) event()  {}
 func (Tick) event()        {}
 
 // TickInterval is how often the machine expects a Tick.
