Make the membership's view when it is asked for, and measure what a member costs

A view was made with each event: at 2,300 members each join of a start copied and sorted the whole. Now events mark it out of date.

--- a/internal/cluster/gossip/cluster.go
+++ b/internal/cluster/gossip/cluster.go
@@ -54,7 +54,7 @@
 
 // Figures count frames since the start.
 type Figures struct {
-	BytesSent, TooLong, Replayed, Refused uint64
+	BytesSent, FramesSent, TooLong, Replayed, Refused uint64
 }
 
 // Cluster is this instance's part of the cluster, as an actor.
@@ -89,7 +89,7 @@
 
 // Figures tells the counts.
 func (c *Cluster) Figures() Figures {
-	return Figures{BytesSent: c.counts.sent.Load(), TooLong: c.counts.tooLong.Load(), Replayed: c.counts.replayed.Load(),
+	return Figures{BytesSent: c.counts.sent.Load(), FramesSent: c.counts.frames.Load(), TooLong: c.counts.tooLong.Load(), Replayed: c.counts.replayed.Load(),
 		Refused: c.counts.refused.Load()}
 }
 
--- a/internal/cluster/gossip/transport.go
+++ b/internal/cluster/gossip/transport.go
@@ -32,6 +32,7 @@
 // counters are of all frames since the process's start.
 type counters struct {
 	sent     atomic.Uint64 // bytes, of datagrams and streams
+	frames   atomic.Uint64 // datagrams sent, and streams opened
 	tooLong  atomic.Uint64
 	replayed atomic.Uint64
 	refused  atomic.Uint64 // malformed, under a wrong key, or of no use to the library
@@ -59,6 +60,7 @@
 func (t *transport) WriteToAddress(frame []byte, peer memberlist.Address) (time.Time, error) {
 	peer.Addr = t.address(peer.Addr)
 	t.counts.sent.Add(uint64(len(frame)))
+	t.counts.frames.Add(1)
 	return t.NetTransport.WriteToAddress(frame, peer)
 }
 
@@ -74,6 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
+	t.counts.frames.Add(1)
 	return &countedConn{conn, t.counts}, nil
 }
 
--- a/internal/cluster/membership/machine.go
+++ b/internal/cluster/membership/machine.go
@@ -25,6 +25,7 @@
 	zone        *sharing // among those of the own zone
 
 	version uint64
+	changed bool // the view is out of date
 	view    *View
 }
 
@@ -48,16 +49,24 @@
 	m := &Machine{cfg: cfg, members: map[string]*record{}}
 	m.partition.cfg = &m.cfg
 	m.cluster, m.zone = newSharing(&m.cfg), newSharing(&m.cfg)
-	m.publish()
 	return m, nil
 }
 
-// View returns the latest view.
-func (m *Machine) View() *View { return m.view }
+// View returns the latest view. It is made when it is asked for: a large cluster brings many events at once.
+func (m *Machine) View() *View {
+	if m.changed || m.view == nil {
+		m.changed = false
+		m.version++
+		m.view = m.current()
+	}
+	return m.view
+}
 
 // Handle takes one event and tells whether the view has changed. Times grow from 0 at the start of the instance.
 func (m *Machine) Handle(now time.Duration, event Event) bool {
 	m.now = now
+	before := m.changed
+	m.changed = false
 	switch event := event.(type) {
 	case MemberAlive:
 		m.alive(event.Member)
@@ -72,7 +81,9 @@
 	case Tick:
 		m.tick()
 	}
-	return m.publish()
+	changed := m.changed
+	m.changed = changed || before
+	return changed
 }
 
 // alive takes a description that is as new as what is known, or newer. One from the future is refused: it would shut out
@@ -94,8 +105,9 @@
 		m.contacted, m.contactedAt = true, m.now
 		m.lastAnswer = m.now
 	}
+	member.State = Alive
+	m.changed = m.changed || r.Member != member
 	r.Member = member
-	r.State = Alive
 	r.answered = nil
 }
 
@@ -105,7 +117,7 @@
 	if r == nil || r.State != Alive || incarnation < r.Incarnation {
 		return
 	}
-	r.State = Suspect
+	m.setState(r, Suspect)
 	r.lostFirst = m.now
 	m.holdAgain(r)
 }
@@ -122,7 +134,7 @@
 	if r == nil || incarnation < r.Incarnation {
 		return
 	}
-	r.State = Left
+	m.setState(r, Left)
 	r.endedAt = m.now
 }
 
@@ -133,7 +145,7 @@
 		return
 	}
 	m.lastAnswer = m.now
-	m.isolated = false
+	m.setIsolated(false)
 	if r.State == Suspect {
 		m.holdAgain(r)
 		return
@@ -161,13 +173,12 @@
 	}
 	m.lastTick = m.now
 	if m.others(Alive, Suspect) > 0 && m.now-m.lastAnswer > m.cfg.IsolatedAfter {
-		m.isolated = true
+		m.setIsolated(true)
 	}
 	if m.afterWake != nil && len(m.afterWake) >= min(answersAfterWake, m.others(Alive)) {
 		m.afterWake = nil
 	}
-	m.partition.update(m.now, m.members)
-	m.share()
+	m.conclude()
 	m.confirm()
 	m.forget()
 }
@@ -194,7 +205,7 @@
 		held := m.now - r.lostAt
 		longEnough := held >= m.cfg.Confirm || held >= confirmLeast && r.unanswered >= unansweredNeeded
 		if r.State == Suspect && longEnough && len(r.answered) >= min(answersNeeded, others) {
-			r.State = Failed
+			m.setState(r, Failed)
 		}
 	}
 }
@@ -204,6 +215,7 @@
 	for name, r := range m.members {
 		if r.expired(m.now, &m.cfg) {
 			delete(m.members, name)
+			m.changed = true
 		}
 	}
 }
@@ -231,10 +243,27 @@
 	return n
 }
 
-// share brings both divisors up to date.
-func (m *Machine) share() {
+// conclude brings the partition and both divisors up to date.
+func (m *Machine) conclude() {
+	partitioned, shares := m.partition.active, m.shares()
+	m.partition.update(m.now, m.members)
 	m.cluster.update(m.now, m.populationOf(func(*record) bool { return true }))
 	m.zone.update(m.now, m.populationOf(func(r *record) bool { return r.Zone == m.cfg.Self.Zone }))
+	m.changed = m.changed || m.partition.active != partitioned || m.shares() != shares
+}
+
+func (m *Machine) shares() Sharing {
+	return Sharing{Cluster: m.cluster.divisor, Zone: m.zone.divisor, Admitted: m.zone.admitted, Settled: m.zone.settled}
+}
+
+func (m *Machine) setState(r *record, state State) {
+	m.changed = m.changed || r.State != state
+	r.State = state
+}
+
+func (m *Machine) setIsolated(isolated bool) {
+	m.changed = m.changed || m.isolated != isolated
+	m.isolated = isolated
 }
 
 // populationOf selects the members that share a budget with this instance.
@@ -248,25 +277,10 @@
 	return p
 }
 
-// publish makes a new view if anything in it has changed.
-func (m *Machine) publish() bool {
-	v := m.current()
-	if m.view != nil {
-		v.Version = m.view.Version
-		if equal(v, m.view) {
-			return false
-		}
-	}
-	v.Version = m.version + 1
-	m.version = v.Version
-	m.view = v
-	return true
-}
-
 func (m *Machine) current() *View {
 	self := m.cfg.Self
-	v := &View{Isolated: m.isolated, Partitioned: m.partition.active, Members: []Member{self}, Alive: 1,
-		Sharing: Sharing{Cluster: m.cluster.divisor, Zone: m.zone.divisor, Admitted: m.zone.admitted, Settled: m.zone.settled}}
+	v := &View{Version: m.version, Isolated: m.isolated, Partitioned: m.partition.active, Members: []Member{self}, Alive: 1,
+		Sharing: m.shares()}
 	for _, name := range slices.Sorted(maps.Keys(m.members)) {
 		r := m.members[name]
 		v.Members = append(v.Members, r.Member)
@@ -282,7 +296,3 @@
 	slices.SortFunc(v.Members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	return v
 }
-
-func equal(a, b *View) bool {
-	return a.Isolated == b.Isolated && a.Partitioned == b.Partitioned && a.Sharing == b.Sharing && slices.Equal(a.Members, b.Members)
-}
