Split a client's channel by job, and make the core's orders to it typed commands

Each command is a type that executes itself. Functions moved unchanged; obey and hear are execute and handle. Tests changed names alone ("%T" in place of a kind's number), none lost a case.

Beside it gossip probes four live members a second while there are suspects, as a failure is confirmed only once others have answered. Measured: internal/line with -race passes.

--- a/internal/cluster/gossip/cluster.go
+++ b/internal/cluster/gossip/cluster.go
@@ -35,7 +35,8 @@
 
 // Counts of the carrier.
 const (
-	suspectsProbed  = 4  // at once
+	suspectsProbed  = 4  // at once,
+	aliveProbed     = 4  // and beside them so many that are alive
 	turnsAtOnce     = 20 // instances of the whole cluster that probe a failed member, or join one that is back, in a second
 	addressesAtOnce = 4  // of an attempt to join
 )
@@ -315,13 +316,17 @@
 	}
 }
 
-// probe asks a member that is alive, some that are suspect and one that has failed, whether both directions work.
+// probe asks a member that is alive, or some while there are suspects, some that are suspect and one that has failed, whether both directions work.
 func (s *session) probe() {
 	if !s.probing.CompareAndSwap(false, true) {
 		return
 	}
-	members, self := s.machine.View().Members, s.cluster.cfg.Settings.Name
-	targets := pick(members, self, membership.Alive, 1)
+	view, self := s.machine.View(), s.cluster.cfg.Settings.Name
+	members, most := view.Members, 1
+	if view.Suspect > 0 {
+		most = aliveProbed // a failure is confirmed only once others have answered
+	}
+	targets := pick(members, self, membership.Alive, most)
 	targets = append(targets, pick(members, self, membership.Suspect, suspectsProbed)...)
 	if s.isTurn() {
 		targets = append(targets, pick(members, self, membership.Failed, 1)...)
--- a/internal/line/crossings_test.go
+++ b/internal/line/crossings_test.go
@@ -50,11 +50,11 @@
 
 func (h *hand) attempts() newsDialled {
 	h.t.Helper()
-	o := <-h.orders
-	if o.kind != orderAttempt {
-		h.t.Fatalf("the core orders %d, want an attempt", o.kind)
+	o := <-h.commands
+	if !is[attemptCommand](o) {
+		h.t.Fatalf("the core orders %T, want an attempt", o)
 	}
-	h.obey(h.t.Context(), o)
+	h.execute(h.t.Context(), o)
 	n, ok := (<-h.news).(newsDialled)
 	if !ok || n.err != nil {
 		h.t.Fatalf("the dial brings %+v", n)
@@ -63,10 +63,10 @@
 }
 
 // ordered tells what the core has ordered by now, if anything.
-func (h *hand) ordered() (o order, any bool) {
+func (h *hand) ordered() (o command, any bool) {
 	h.b.sync()
 	select {
-	case o = <-h.orders:
+	case o = <-h.commands:
 		return o, true
 	default:
 		return o, false
@@ -132,24 +132,24 @@
 		b := with(t, room, func(s *decide.Settings) { unsafe(s); s.ConnectTimeout = 50 * time.Millisecond }, s1, s2)
 		h := b.byHand(t)
 		dialled := h.requests()
-		o := <-h.orders // the time-out
-		if o.kind != orderGiveUp {
-			t.Fatalf("the core orders %d, want to give up", o.kind)
+		o := <-h.commands // the time-out
+		if !is[giveUpCommand](o) {
+			t.Fatalf("the core orders %T, want to give up", o)
 		}
 		if o, more := h.ordered(); more {
-			t.Fatalf("the core orders %d before the attempt has ended", o.kind)
+			t.Fatalf("the core orders %T before the attempt has ended", o)
 		}
 		if written {
-			h.hear(dialled)
+			h.handle(dialled)
 		}
-		h.obey(t.Context(), o)
+		h.execute(t.Context(), o)
 		if !written {
-			h.hear(dialled) // too late
-			h.hear(h.attempts())
+			h.handle(dialled) // too late
+			h.handle(h.attempts())
 		}
-		h.hear(<-h.news) // UP
-		if o := <-h.orders; o.kind != orderStand {
-			t.Errorf("written %v: the core orders %d, want to stand", written, o.kind)
+		h.handle(<-h.news) // UP
+		if o := <-h.commands; !is[standCommand](o) {
+			t.Errorf("written %v: the core orders %T, want to stand", written, o)
 		}
 		if n := len(s1.lines()) + len(s2.lines()); n != 1 {
 			t.Errorf("written %v: %d lines went out, want one", written, n)
@@ -162,10 +162,10 @@
 	t.Parallel()
 	b := with(t, room, unsafe, newServer(t, "s-1", echo))
 	h := b.byHand(t)
-	h.hear(h.requests())
-	h.hear(<-h.news) // UP: the core is told
-	h.obey(t.Context(), order{kind: orderGiveUp, n: 0, code: decide.TimedOut})
-	h.obey(t.Context(), <-h.orders)
+	h.handle(h.requests())
+	h.handle(<-h.news) // UP: the core is told
+	h.execute(t.Context(), giveUpCommand{0, decide.TimedOut})
+	h.execute(t.Context(), <-h.commands)
 	h.client.want("UP receipt-1\r\n")
 }
 
@@ -191,10 +191,10 @@
 			b.module.Resolved(r)
 			b.module.Resolved(s2.as(decide.Ready))
 			if o, any := h.ordered(); any {
-				h.obey(t.Context(), o)
+				h.execute(t.Context(), o)
 			}
-			h.hear(dialled)
-			h.hear(h.attempts())
+			h.handle(dialled)
+			h.handle(h.attempts())
 			if n, m := len(s1.lines()), len(s2.lines()); n > 0 {
 				t.Errorf("%d lines went to the room server that left, %d to the other", n, m)
 			}
@@ -215,8 +215,8 @@
 		b.module.Resolved(r)
 	}
 	o, _ := h.ordered()
-	h.obey(t.Context(), o)
-	h.hear(dialled)
+	h.execute(t.Context(), o)
+	h.handle(dialled)
 	if n := b.module.Fresh(20 * time.Second).Avoided; n > 0 {
 		t.Errorf("%d room servers are left out", n)
 	}
@@ -236,15 +236,15 @@
 	var dialled newsDialled
 	o, any := h.ordered()
 	if any { // it was within the grace still
-		h.obey(t.Context(), o)
+		h.execute(t.Context(), o)
 		dialled = (<-h.news).(newsDialled)
-		h.obey(t.Context(), <-h.orders) // at its end
-		h.hear(dialled)
+		h.execute(t.Context(), <-h.commands) // at its end
+		h.handle(dialled)
 	}
 	for range 2 { // no other follows, and each would within this
 		time.Sleep(reopenAgain)
 		if o, any := h.ordered(); any {
-			t.Fatalf("the core orders %d", o.kind)
+			t.Fatalf("the core orders %T", o)
 		}
 	}
 	if n := len(s.lines()); n > 0 {
@@ -278,7 +278,7 @@
 		h := b.byHand(t)
 		dialled := h.requests()
 		h.leave(reset)
-		if h.hear(dialled) {
+		if h.handle(dialled) {
 			t.Errorf("reset %v: the actor goes on without its client", reset)
 		}
 		h.closeUp(false)
@@ -303,8 +303,8 @@
 			h.text.R.Peek(1)
 			h.early.Store(true)
 		}
-		h.hear(dialled)
-		h.obey(t.Context(), <-h.orders)
+		h.handle(dialled)
+		h.execute(t.Context(), <-h.commands)
 		h.client.want("ERR\r\n")
 		if n := len(s.lines()); n > 0 {
 			t.Errorf("read %v: %d lines were sent on", read, n)
@@ -518,8 +518,8 @@
 	h.client.send(opening())
 	until(t, "the line", func() bool { return unread(h.channel.client) })
 	over := b.module.Drain(20*time.Second, nil)
-	o := <-h.orders // drop it if it says nothing
-	if !h.obey(t.Context(), o) {
+	o := <-h.commands // drop it if it says nothing
+	if !h.execute(t.Context(), o) {
 		t.Fatal("a request that has come is dropped")
 	}
 	b.sync()
@@ -529,15 +529,15 @@
 	default:
 	}
 	h.front.readers.Go(h.readClient)
-	h.hear(<-h.news) // the line
-	h.hear(h.attempts())
+	h.handle(<-h.news) // the line
+	h.handle(h.attempts())
 	for served := false; !served; {
 		select {
 		case n := <-h.news:
-			h.hear(n)
-		case o := <-h.orders:
-			served = o.kind == orderStand
-			h.obey(t.Context(), o)
+			h.handle(n)
+		case o := <-h.commands:
+			served = is[standCommand](o)
+			h.execute(t.Context(), o)
 		}
 	}
 	h.client.want("UP receipt-1\r\n")
@@ -551,14 +551,14 @@
 	h.client.send("PING\r\n")
 	until(t, "the line", func() bool { return unread(h.channel.client) })
 	over := b.module.Drain(1900*time.Millisecond, nil) // less than a channel that says nothing may stay
-	if !h.obey(t.Context(), <-h.orders) {
+	if !h.execute(t.Context(), <-h.commands) {
 		t.Fatal("a line that has come is dropped")
 	}
 	h.front.readers.Go(h.readClient)
 	h.client.want("BUSY\r\n")
 	select {
-	case o := <-h.orders:
-		if h.obey(t.Context(), o) {
+	case o := <-h.commands:
+		if h.execute(t.Context(), o) {
 			t.Fatal("a health check that was answered stays")
 		}
 	case <-over:
@@ -584,10 +584,10 @@
 		c.up, c.stands = up, true
 		room.send(o.before)
 		up.text.R.Peek(len(o.before)) // it is read, and not passed on yet
-		c.obey(context.Background(), order{kind: orderMove})
+		c.execute(context.Background(), moveCommand{})
 		room.send(o.after)
 		front.readers.Go(func() { c.relayDown(up) })
-		if !c.hear(<-c.news) {
+		if !c.handle(<-c.news) {
 			t.Errorf("%q: the actor ended before its client did", o.before)
 		}
 		if got, err := io.ReadAll(client.r); err != nil || string(got) != o.want {
@@ -595,3 +595,9 @@
 		}
 	}
 }
+
+// is tells whether a command is of a kind.
+func is[T command](cmd command) bool {
+	_, yes := cmd.(T)
+	return yes
+}
--- a/internal/line/front.go
+++ b/internal/line/front.go
@@ -207,7 +207,7 @@
 func (f *Front) channel(conn *net.TCPConn) *channel {
 	return &channel{
 		front: f, client: conn, text: textproto.NewConn(conn),
-		orders: make(chan order, mailboxSize), news: make(chan any), done: make(chan struct{}),
+		commands: make(chan command, mailboxSize), news: make(chan any), done: make(chan struct{}),
 		relay: make(chan *upstream, 1), answered: make(chan struct{}),
 	}
 }
--- a/internal/line/gone_test.go
+++ b/internal/line/gone_test.go
@@ -70,43 +70,43 @@
 // the dial is not made, no room server is blamed, and the actor ends.
 func TestNothingIsDialledForOneThatHasGone(t *testing.T) {
 	t.Parallel()
-	begin := func(h *hand, line string) order {
+	begin := func(h *hand, line string) command {
 		h.asked = true
 		h.begin(strings.TrimRight(line, "\r\n"), time.Now())
-		return <-h.orders
+		return <-h.commands
 	}
-	places := map[string]func(t *testing.T, d *answerer) (h *hand, o order){
-		"first attempt": func(t *testing.T, d *answerer) (*hand, order) {
+	places := map[string]func(t *testing.T, d *answerer) (h *hand, o command){
+		"first attempt": func(t *testing.T, d *answerer) (*hand, command) {
 			h := newBalancer(t, d).byHand(t)
 			return h, begin(h, opening())
 		},
-		"further attempt": func(t *testing.T, d *answerer) (*hand, order) {
+		"further attempt": func(t *testing.T, d *answerer) (*hand, command) {
 			b := newBalancer(t, newServer(t, "s-1", say("BUSY\r\n"))) // own zone first
 			b.module.Resolved(d.in("b"))
 			h := b.byHand(t)
-			h.hear(h.requests())
-			h.hear(<-h.news) // BUSY
-			return h, <-h.orders
+			h.handle(h.requests())
+			h.handle(<-h.news) // BUSY
+			return h, <-h.commands
 		},
-		"after waiting for a room server": func(t *testing.T, d *answerer) (*hand, order) {
+		"after waiting for a room server": func(t *testing.T, d *answerer) (*hand, command) {
 			b := newBalancer(t)
 			h := b.byHand(t)
 			h.asked = true
 			h.begin(strings.TrimRight(opening(), "\r\n"), time.Now())
 			b.sync()
 			b.module.Resolved(d.as(decide.Ready))
-			return h, <-h.orders
+			return h, <-h.commands
 		},
-		"opened anew": func(t *testing.T, d *answerer) (*hand, order) {
+		"opened anew": func(t *testing.T, d *answerer) (*hand, command) {
 			b := newBalancer(t)
 			h := b.byHand(t)
 			h.asked = true
 			h.begin(strings.TrimRight(opening(), "\r\n")+",at="+d.name, time.Now())
 			b.sync()
 			b.module.Resolved(d.as(decide.Ready))
-			return h, <-h.orders
+			return h, <-h.commands
 		},
-		"in a stop": func(t *testing.T, d *answerer) (*hand, order) {
+		"in a stop": func(t *testing.T, d *answerer) (*hand, command) {
 			b := newBalancer(t, d)
 			h := b.byHand(t)
 			b.module.Drain(20*time.Second, nil)
@@ -119,13 +119,13 @@
 				t.Parallel()
 				d := door(t, "s-9")
 				h, o := prepare(t, d)
-				if o.kind != orderAttempt {
-					t.Fatalf("the core orders %d, want an attempt", o.kind)
+				if !is[attemptCommand](o) {
+					t.Fatalf("the core orders %T, want an attempt", o)
 				}
 				blamed := h.b.module.Fresh(20 * time.Second).Avoided
 				h.goes(end)
-				h.obey(t.Context(), o)
-				if h.hear(<-h.news) {
+				h.execute(t.Context(), o)
+				if h.handle(<-h.news) {
 					t.Error("the actor goes on without its client")
 				}
 				if n := d.visits(t); n > 0 {
@@ -147,12 +147,12 @@
 				b.front.held <- struct{}{}
 			}
 			h := b.byHand(t)
-			h.obey(t.Context(), begin(h, opening()))
+			h.execute(t.Context(), begin(h, opening()))
 			h.goes(end)
 			for range cap(b.front.held) - 1 {
 				b.front.free()
 			}
-			if h.hear(<-h.news) {
+			if h.handle(<-h.news) {
 				t.Error("the actor goes on without its client")
 			}
 			if n := d.visits(t); n > 0 || len(b.front.held) > 1 {
@@ -168,10 +168,10 @@
 		h.client.send("more")
 		end(h.client, false) // its end lies behind what was not read
 		until(t, "more", func() bool { _, more := h.clientState(); return more })
-		h.obey(t.Context(), o)
-		h.hear(<-h.news)
-		if o := <-h.orders; o.kind != orderFail {
-			t.Errorf("the core orders %d, want the answer", o.kind)
+		h.execute(t.Context(), o)
+		h.handle(<-h.news)
+		if o := <-h.commands; !is[failCommand](o) {
+			t.Errorf("the core orders %T, want the answer", o)
 		}
 		if n := d.visits(t); n > 0 {
 			t.Errorf("%d connections to the room server", n)
@@ -197,16 +197,16 @@
 				gone, ordered := false, false // and a dial was ordered since
 				next := func() (goesOn, stood bool) {
 					select {
-					case o := <-h.orders:
-						ordered = ordered || gone && (o.kind == orderAttempt || o.kind == orderHolder)
-						return h.obey(t.Context(), o), o.kind == orderStand
+					case o := <-h.commands:
+						ordered = ordered || gone && (is[attemptCommand](o) || is[holderCommand](o))
+						return h.execute(t.Context(), o), is[standCommand](o)
 					case n := <-h.news:
 						dialled, _ := n.(newsDialled)
 						asked, _ := n.(newsHolder)
 						if ordered && (dialled.conn != nil || asked.h != nil && asked.h.conn != nil) {
 							t.Errorf("gone before %T: it was dialled", n)
 						}
-						return h.hear(n), false
+						return h.handle(n), false
 					}
 				}
 				for range turns {
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -417,7 +417,7 @@
 	}
 	defer conn.Close()
 	ch := b.front.channel(conn)
-	drop := func() bool { return !ch.obey(t.Context(), order{kind: orderDrop}) }
+	drop := func() bool { return !ch.execute(t.Context(), dropCommand{}) }
 	if !drop() {
 		t.Error("a silent channel stays")
 	}
@@ -590,7 +590,7 @@
 		if !c.serverEnded(newsServerEnd{code, io.EOF}) {
 			t.Fatalf("code %v: the actor ended before its client did", code)
 		}
-		if !c.obey(context.Background(), order{kind: orderMove}) {
+		if !c.execute(context.Background(), moveCommand{}) {
 			t.Fatalf("code %v: the late move ended the actor", code)
 		}
 		client.wantEnd()
--- a/internal/line/resume.go
+++ b/internal/line/resume.go
@@ -145,14 +145,6 @@
 	return c.first.forwardSession(wait, c.session.open)
 }
 
-// Holder answers what Locate asked.
-func (c *channel) Holder(n int, s core.Subchannel, known bool) {
-	c.order(order{kind: orderHolder, n: n, holder: s, known: known})
-}
-
-// StartOver is the final answer that the session cannot go on.
-func (c *channel) StartOver(why core.Reason) { c.order(order{kind: orderStartOver, why: why}) }
-
 // resumes begins an attempt of a session that goes on: its connection is up.
 func (c *channel) resumes() bool {
 	c.front.module.Dialled(c.call, c.up.n)
@@ -207,7 +199,7 @@
 func (c *channel) say(line string) { c.up.text.PrintfLine("%s", line) }
 
 // located goes on once the core has told where the state is.
-func (c *channel) located(ctx context.Context, o order) bool {
+func (c *channel) located(ctx context.Context, o holderCommand) bool {
 	if c.up == nil || c.up.n != o.n {
 		return true
 	}
@@ -223,7 +215,7 @@
 	call := resumeline.Export{Ref: f.Ref, Claim: f.Claim, Most: set.limits.MaxState, Via: f.Via,
 		For: (c.up.wait + claimSpare).Truncate(time.Millisecond)}
 	c.ask(h, func() any {
-		answer, err := c.export(ctx, h, o.holder.Address, call)
+		answer, err := c.export(ctx, h, o.server.Address, call)
 		return newsHolder{h, answer, err}
 	})
 	return true
