--- a/internal/cluster/gossip/cluster.go
+++ b/internal/cluster/gossip/cluster.go
@@ -293,6 +293,9 @@
 func (s *session) handleEvents() {
 	for _, event := range s.events.take() {
 		s.machine.Handle(s.now(), event)
+		if _, lost := event.(membership.MemberLost); lost {
+			s.nextProbe = time.Time{} // with the next tick: what the probes bring decides
+		}
 	}
 }
 
