--- a/internal/cluster/gossip/cluster_test.go
+++ b/internal/cluster/gossip/cluster_test.go
@@ -40,10 +40,13 @@
 	return ring
 }
 
+// given are the addresses that freeAddress has given out: whoever asked may bind them later.
+var given sync.Map
+
 // freeAddress is a loopback address at which neither TCP nor UDP is taken.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	for range 20 {
+	for range 50 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -53,7 +56,9 @@
 		l.Close()
 		if err == nil {
 			u.Close()
-			return address
+			if _, taken := given.LoadOrStore(address, true); !taken {
+				return address
+			}
 		}
 	}
 	t.Fatal("no free address")
@@ -67,10 +72,16 @@
 }
 
 func start(t *testing.T, name string, listen netip.AddrPort, ring *token.Ring, seeds ...netip.AddrPort) *running {
+	t.Helper()
+	return startVia(t, name, listen, ring, nil, seeds...)
+}
+
+func startVia(t *testing.T, name string, listen netip.AddrPort, ring *token.Ring, via map[netip.AddrPort]netip.AddrPort,
+	seeds ...netip.AddrPort) *running {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	c := New(Config{Settings: config.Membership{Name: name, Listen: listen, Zone: "a", Region: "x", Seeds: seeds,
+	c := New(Config{Settings: config.Membership{Name: name, Listen: listen, Zone: "a", Region: "x", Seeds: seeds, Via: via,
 		PartitionHold: time.Hour}, Ring: ring, Balancers: 5, Version: "test", Log: log})
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
