--- a/cmd/cottonplank/membership.go
+++ b/cmd/cottonplank/membership.go
@@ -21,7 +21,8 @@
 const serviceEvery = 100 * time.Millisecond
 
 // newCluster returns the membership that a fronts file asks for; nil: it asks for none.
-func newCluster(m config.Membership, settings decide.Settings, use func(decide.FleetSize), log *logrus.Logger) (*gossip.Cluster, error) {
+func newCluster(m config.Membership, settings decide.Settings, use func(decide.FleetSize),
+	log *logrus.Logger) (*gossip.Cluster, error) {
 	if m.Name == "" {
 		return nil, nil
 	}
@@ -29,7 +30,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fronts: membership.%w", err)
 	}
-	return gossip.New(gossip.Config{Settings: m, Ring: ring, Balancers: settings.Balancers, Version: programVersion(), Log: log,
+	return gossip.New(gossip.Config{Settings: m, Ring: ring, Named: decide.NamedFleetSize(settings), Version: programVersion(), Log: log,
 		OnView: func(view *membership.View) { use(fleetSize(view, settings)) }}), nil
 }
 
--- a/cmd/cottonplank/membership_test.go
+++ b/cmd/cottonplank/membership_test.go
@@ -78,8 +78,8 @@
 	return time.Since(began)
 }
 
-// Processes find each other; a pause of one fails nobody on either side; a planned stop, a lame duck and one that is called back are
-// told at once; a new version takes the member over; a killed one is found.
+// Processes find each other; a pause of one fails nobody on either side; a planned stop, a lame duck and one that is
+// called back are told at once; a new version takes the member over; a killed one is found.
 func TestProcessesAreMembers(t *testing.T) {
 	t.Parallel()
 	const n = 5
--- a/cmd/cottonplank/reload.go
+++ b/cmd/cottonplank/reload.go
@@ -17,8 +17,8 @@
 	"github.com/sirupsen/logrus"
 )
 
-// reloader takes over what SIGHUP may change: discovery's address, the keys of tokens and of the membership, the list of room servers. One reload is
-// of all of them or of none: where one file is faulty, all that was in force stays.
+// reloader takes over what SIGHUP may change: discovery's address, the keys of tokens and of the membership, the list
+// of room servers. One reload is of all of them or of none: where one file is faulty, all that was in force stays.
 type reloader struct {
 	fronts     config.Fronts
 	cluster    *gossip.Cluster // nil: this instance is no member
--- a/decide/cold.go
+++ b/decide/cold.go
@@ -77,9 +77,10 @@
 	}
 }
 
-// comesFor is how many of this balancer's requests come for the cold server s within a span, at least the mean of the zone's
-// servers. That mean is the prior, and what came for s corrects it. When connections break, their groups all come for the same
-// next servers, of which the mean says nothing: the larger the part of them in what comes, the more counts what came for s alone.
+// comesFor is how many of this balancer's requests come for the cold server s within a span, at least the mean of the
+// zone's servers. That mean is the prior, and what came for s corrects it. When connections break, their groups all
+// come for the same next servers, of which the mean says nothing: the larger the part of them in what comes, the more
+// counts what came for s alone.
 func (b *Balancer) comesFor(r *request, s *server, span time.Duration) float64 {
 	mean := b.comes(r, span)
 	if !b.grouped(r) || mean == 0 {
@@ -92,8 +93,9 @@
 	return max(mean, storm*came/window+(1-storm)*usual)
 }
 
-// sharers is how many balancers share the zone: as the membership counts them at least, else as told, within what its servers hold over what this one does, give or
-// take what that is by chance. Guards against a fleet that has grown, or shrunk, since it was told its size.
+// sharers is how many balancers share the zone: as the membership counts them at least, else as told, within what its
+// servers hold over what this one does, give or take what that is by chance. Guards against a fleet that has grown, or
+// shrunk, since it was told its size.
 func (b *Balancer) sharers() float64 {
 	held, own, told := b.near.heldInAll(), 0.0, b.near.told
 	for _, s := range b.near.held {
--- a/decide/fleetsize.go
+++ b/decide/fleetsize.go
@@ -22,8 +22,8 @@
 	b.reindexAll(b.ready) // whether a server has room depends on the margins
 }
 
-// setMargins makes the loads up to which a server has room. A report shows what the others of the zone have placed half a second
-// late; own placements are booked at once.
+// setMargins makes the loads up to which a server has room. A report shows what the others of the zone have placed
+// half a second late; own placements are booked at once.
 func (b *Balancer) setMargins() {
 	hidden := hiddenLoad * (1 - 1/b.peers())
 	b.roomy, b.full = roomyLoad-hidden, fullLoad-hidden/2
--- a/internal/cluster/gossip/cluster.go
+++ b/internal/cluster/gossip/cluster.go
@@ -1,6 +1,6 @@
-// Package gossip carries package membership over the network: hashicorp/memberlist finds members and detects failures (SWIM with
-// Lifeguard), and this package feeds what it reports to the pure machine, which decides what may be concluded. It is thin: one
-// goroutine owns the machine; the library's callbacks only put events into its queue.
+// Package gossip carries package membership over the network: hashicorp/memberlist finds members and detects failures
+// (SWIM with Lifeguard), and this package feeds what it reports to the pure machine, which decides what may be
+// concluded. It is thin: one goroutine owns the machine; the library's callbacks only put events into its queue.
 package gossip
 
 import (
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"cottonplank/decide"
 	"cottonplank/internal/cluster/membership"
 	"cottonplank/internal/config"
 	"cottonplank/internal/token"
@@ -43,13 +44,13 @@
 
 // Config is what a Cluster starts with.
 type Config struct {
-	Settings  config.Membership
-	Ring      *token.Ring
-	Balancers int    // instances that the settings name
-	Version   string // of the program
-	Log       *logrus.Logger
-	// OnView is called with each new view, and with nil when the instance is no member any more, from the cluster's goroutine; nil:
-	// nobody is told.
+	Settings config.Membership
+	Ring     *token.Ring
+	Named    decide.FleetSize // the instances that the settings name
+	Version  string           // of the program
+	Log      *logrus.Logger
+	// OnView is called with each new view, and with nil when the instance is no member any more, from the cluster's
+	// goroutine; nil: nobody is told.
 	OnView func(*membership.View)
 }
 
@@ -90,8 +91,9 @@
 
 // Figures tells the counts.
 func (c *Cluster) Figures() Figures {
-	return Figures{BytesSent: c.counts.sent.Load(), FramesSent: c.counts.frames.Load(), TooLong: c.counts.tooLong.Load(), Replayed: c.counts.replayed.Load(),
-		Refused: c.counts.refused.Load()}
+	return Figures{BytesSent: c.counts.sent.Load(), FramesSent: c.counts.frames.Load(), TooLong: c.counts.tooLong.Load(),
+		Replayed: c.counts.replayed.Load(),
+		Refused:  c.counts.refused.Load()}
 }
 
 // Use takes over new keys.
@@ -167,7 +169,8 @@
 		}
 		c.session, c.lastError = s, ""
 		c.member.Store(true)
-		c.cfg.Log.WithFields(logrus.Fields{"name": c.cfg.Settings.Name, "listen": c.cfg.Settings.Listen.String()}).Info("membership: joined")
+		c.cfg.Log.WithFields(logrus.Fields{"name": c.cfg.Settings.Name,
+			"listen": c.cfg.Settings.Listen.String()}).Info("membership: joined")
 	case !active && c.session != nil:
 		c.end()
 	}
@@ -193,7 +196,8 @@
 		return
 	}
 	if c.session.conflict.Load() {
-		c.cfg.Log.WithField("name", c.cfg.Settings.Name).Error("membership: refused: another live process has this name, choose another; going on without a view")
+		c.cfg.Log.WithField("name", c.cfg.Settings.Name).Error(
+			"membership: refused: another live process has this name, choose another; going on without a view")
 		c.refused = true
 		c.silent.Store(true)
 		c.end()
@@ -257,8 +261,8 @@
 	s.delegate = newDelegate(s)
 	lib.Delegate, lib.Events, lib.Ping, lib.Conflict = s.delegate, s.delegate, s.delegate, s.delegate
 	self := s.self.Load().member(set.Name, set.Listen.String())
-	s.machine, err = membership.New(membership.Config{Self: self, Balancers: c.cfg.Balancers, Alone: s.alone(),
-		WallClock: time.Duration(now.UnixNano()), PartitionHold: set.PartitionHold, Detection: detectionTime(lib, c.cfg.Balancers)})
+	s.machine, err = membership.New(membership.Config{Self: self, Balancers: c.cfg.Named.Fleet, ZoneBalancers: c.cfg.Named.Zone, Alone: s.alone(),
+		WallClock: time.Duration(now.UnixNano()), PartitionHold: set.PartitionHold, Detection: detectionTime(lib, c.cfg.Named.Fleet)})
 	if err == nil {
 		s.list, err = memberlist.Create(lib)
 	}
@@ -279,8 +283,8 @@
 	return true
 }
 
-// detectionTime is within what the library reports a failure among so many members: the longest suspicion, as nobody confirms it,
-// and what comes before and after it.
+// detectionTime is within what the library reports a failure among so many members: the longest suspicion, as nobody
+// confirms it, and what comes before and after it.
 func detectionTime(lib *memberlist.Config, members int) time.Duration {
 	scale := max(1, math.Log10(max(1, float64(members))))
 	longest := float64(lib.SuspicionMult*lib.SuspicionMaxTimeoutMult) * scale * float64(lib.ProbeInterval)
@@ -319,7 +323,8 @@
 	}
 }
 
-// probe asks a member that is alive, or some while there are suspects, some that are suspect and one that has failed, whether both directions work.
+// probe asks a member that is alive, or some while there are suspects, some that are suspect and one that has failed,
+// whether both directions work.
 func (s *session) probe() {
 	if !s.probing.CompareAndSwap(false, true) {
 		return
@@ -447,8 +452,8 @@
 
 func (s *session) close() { s.list.Shutdown() }
 
-// conflicting is called where another process has this instance's name at another address. The one that started first stays; the
-// second ends if the first one answers.
+// conflicting is called where another process has this instance's name at another address. The one that started first
+// stays; the second ends if the first one answers.
 func (s *session) conflicting(other *memberlist.Node) {
 	d, err := decodeDescription(other.Meta)
 	if err != nil || d.Incarnation > s.self.Load().Incarnation {
--- a/internal/cluster/gossip/cluster_test.go
+++ b/internal/cluster/gossip/cluster_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"cottonplank/decide"
 	"cottonplank/internal/cluster/membership"
 	"cottonplank/internal/config"
 	"cottonplank/internal/token"
@@ -82,7 +83,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	c := New(Config{Settings: config.Membership{Name: name, Listen: listen, Zone: "a", Region: "x", Seeds: seeds, Via: via,
-		PartitionHold: time.Hour}, Ring: ring, Balancers: 5, Version: "test", Log: log})
+		PartitionHold: time.Hour}, Ring: ring, Named: decide.FleetSize{Fleet: 5, Zone: 5}, Version: "test", Log: log})
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	all.Go(func() { c.Run(ctx) })
--- a/internal/cluster/gossip/cost_test.go
+++ b/internal/cluster/gossip/cost_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cottonplank/decide"
 	"cottonplank/internal/config"
 	"cottonplank/internal/token"
 
@@ -45,7 +46,7 @@
 	}
 	for i := range n {
 		c := New(Config{Settings: config.Membership{Name: fmt.Sprintf("m%04d", i), Listen: address(i), Zone: "a", Region: "x",
-			Seeds: []netip.AddrPort{address(0), address(n / 3), address(2 * n / 3)}, PartitionHold: time.Hour}, Ring: ring, Balancers: n,
+			Seeds: []netip.AddrPort{address(0), address(n / 3), address(2 * n / 3)}, PartitionHold: time.Hour}, Ring: ring, Named: decide.FleetSize{Fleet: n, Zone: n},
 			Version: "bench", Log: log})
 		ctx, cancel := context.WithCancel(context.Background())
 		h.all, h.cancel = append(h.all, c), append(h.cancel, cancel)
@@ -110,8 +111,8 @@
 	h.b.ReportMetric(float64((to.cpu-from.cpu).Microseconds())/1000/seconds, name+"-cpu-ms/s")
 }
 
-// BenchmarkMembers measures what one member costs among so many: started within a minute at 2,000, at rest, and with a ninth lost
-// at once. Frames and bytes are those sent; processor time is that of the whole process over its members.
+// BenchmarkMembers measures what one member costs among so many: started within a minute at 2,000, at rest, and with a
+// ninth lost at once. Frames and bytes are those sent; processor time is that of the whole process over its members.
 //
 //	go test -run XXX -bench Members -benchtime 1x -timeout 30m ./internal/cluster/gossip
 func BenchmarkMembers(b *testing.B) {
--- a/internal/cluster/gossip/cuts_test.go
+++ b/internal/cluster/gossip/cuts_test.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// All start while 40 % of the datagrams and the dials are lost: they find each other, and nobody fails. A bound: the library alone was
-// measured to hold it.
+// All start while 40 % of the datagrams and the dials are lost: they find each other, and nobody fails. A bound: the
+// library alone was measured to hold it.
 func TestStartUnderLoss(t *testing.T) {
 	t.Parallel()
 	w := newNetwork(t, 5)
@@ -99,8 +99,8 @@
 	}
 }
 
-// One that hears all and is heard by none, or the other way round, finds that it is cut off itself, fails nobody and keeps its size.
-// The keys are exchanged in the middle of the cut; after it all find each other without help.
+// One that hears all and is heard by none, or the other way round, finds that it is cut off itself, fails nobody and
+// keeps its size. The keys are exchanged in the middle of the cut; after it all find each other without help.
 func TestOneSidedCutsOfOneMember(t *testing.T) {
 	t.Parallel()
 	const cutOff = 3
@@ -136,7 +136,8 @@
 	}
 }
 
-// A cut of one direction between two members fails neither: the third ones' word counts. A bound: so it is with the library alone.
+// A cut of one direction between two members fails neither: the third ones' word counts. A bound: so it is with the
+// library alone.
 func TestOneWayCutOfAPair(t *testing.T) {
 	t.Parallel()
 	w := newNetwork(t, 5)
--- a/internal/cluster/gossip/description.go
+++ b/internal/cluster/gossip/description.go
@@ -9,8 +9,8 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// description is what each member tells of itself; the library carries it with the member's name and address. Later versions may
-// add fields, which are passed over here.
+// description is what each member tells of itself; the library carries it with the member's name and address. Later
+// versions may add fields, which are passed over here.
 type description struct {
 	Zone        string `cbor:"1,keyasint"`
 	Region      string `cbor:"2,keyasint"`
--- a/internal/cluster/gossip/transport.go
+++ b/internal/cluster/gossip/transport.go
@@ -17,8 +17,8 @@
 	noncesKept  = 8192 // in each of two generations
 )
 
-// transport wraps the library's: it reaches peers by other addresses where the settings name these, and drops datagrams that are
-// too long or were seen before.
+// transport wraps the library's: it reaches peers by other addresses where the settings name these, and drops
+// datagrams that are too long or were seen before.
 type transport struct {
 	*memberlist.NetTransport
 	via     map[netip.AddrPort]netip.AddrPort
--- a/internal/cluster/membership/config.go
+++ b/internal/cluster/membership/config.go
@@ -7,10 +7,11 @@
 
 // Config is what a Machine starts with. Zero values have the defaults below.
 type Config struct {
-	Self      Member
-	Balancers int           // instances that the operator's settings name; used until a view is settled
-	Alone     bool          // no peers are configured: the instance waits for none
-	WallClock time.Duration // since the epoch, at the machine's time 0
+	Self          Member
+	Balancers     int           // instances that the operator's settings name; used until a view is settled,
+	ZoneBalancers int           // and those of the own zone; 0: all are
+	Alone         bool          // no peers are configured: the instance waits for none
+	WallClock     time.Duration // since the epoch, at the machine's time 0
 
 	Confirm       time.Duration // a reported failure is a suspicion for so long, unless own probes confirm it before
 	PauseAfter    time.Duration // a gap of this length between two ticks is a pause of the own process
@@ -53,6 +54,9 @@
 		c.PartitionPart = DefaultPartitionPart
 	}
 	c.Balancers = max(c.Balancers, 1)
+	if c.ZoneBalancers == 0 {
+		c.ZoneBalancers = c.Balancers
+	}
 }
 
 func (c *Config) validate() error {
--- a/internal/cluster/membership/machine.go
+++ b/internal/cluster/membership/machine.go
@@ -48,7 +48,7 @@
 	cfg.Self.State = Alive
 	m := &Machine{cfg: cfg, members: map[string]*record{}}
 	m.partition.cfg = &m.cfg
-	m.cluster, m.zone = newSharing(&m.cfg), newSharing(&m.cfg)
+	m.cluster, m.zone = newSharing(&m.cfg, m.cfg.Balancers), newSharing(&m.cfg, m.cfg.ZoneBalancers)
 	return m, nil
 }
 
--- a/internal/cluster/membership/machine_test.go
+++ b/internal/cluster/membership/machine_test.go
@@ -213,7 +213,8 @@
 	}
 }
 
-// Processes that start in a part of the cluster are not admitted before the network is whole: the other part does not count them.
+// Processes that start in a part of the cluster are not admitted before the network is whole: the other part does not
+// count them.
 func TestNewProcessWaitsForTheEndOfACut(t *testing.T) {
 	m, err := New(testConfig())
 	if err != nil {
@@ -299,6 +300,26 @@
 	}
 }
 
+// The budget of a zone is shared by its own instances: those of other zones neither count nor hold up a start.
+func TestZonesAreCountedApart(t *testing.T) {
+	cfg := testConfig()
+	cfg.Balancers, cfg.ZoneBalancers = 30, 10
+	m, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &driver{t: t, m: m, silent: map[string]bool{}}
+	for i := range 29 {
+		one := Member{Name: fmt.Sprintf("m%02d", i), Zone: []string{"a", "b", "c"}[(i+1)%3], Incarnation: 1000}
+		d.members = append(d.members, one.Name)
+		m.Handle(d.now, MemberAlive{one})
+	}
+	d.run(2 * DefaultDetection)
+	if s := m.View().Sharing; s.Cluster != 30 || s.Zone != 10 || !s.Settled || !s.Admitted {
+		t.Errorf("%+v, want 30 in all, 10 in the zone, settled", s)
+	}
+}
+
 func TestFaultyConfigIsRefused(t *testing.T) {
 	for _, c := range []Config{{}, {Self: Member{Name: "x"}, PartitionPart: 0.6}, {Self: Member{Name: "x"}, PartitionHold: time.Second}} {
 		if _, err := New(c); err == nil {
--- a/internal/cluster/membership/sharing.go
+++ b/internal/cluster/membership/sharing.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// sharing decides among how many instances a budget is divided, and whether this instance may use its part of it. The parts of all
-// instances that are admitted never sum up to more than the whole, while no cut lasts longer than Config.PartitionHold:
+// sharing decides among how many instances a budget is divided, and whether this instance may use its part of it. The
+// parts of all instances that are admitted never sum up to more than the whole, while no cut lasts longer than
+// Config.PartitionHold:
 //
 //   - The divisor counts every name that was alive within PartitionHold and has not left. It grows at once, and a member that
 //     failed, flaps or is beyond a cut stays counted.
@@ -13,19 +14,20 @@
 // So each admitted instance is counted by all others, and each uses one part of at least as many as are admitted.
 type sharing struct {
 	cfg      *Config
+	named    int // the settings' number
 	divisor  int
 	admitted bool
 	settled  bool // the view was complete once; the instance is counted by all
 }
 
-func newSharing(cfg *Config) *sharing {
-	return &sharing{cfg: cfg, divisor: cfg.Balancers}
+func newSharing(cfg *Config, named int) *sharing {
+	return &sharing{cfg: cfg, named: named, divisor: named}
 }
 
 // update follows the other members that share the budget; it is called with each tick.
 func (s *sharing) update(now time.Duration, p population) {
 	counted := 1 + p.counted(now, s.cfg)
-	named := s.cfg.Balancers
+	named := s.named
 	announced := p.announced()
 	if now >= s.cfg.PartitionHold {
 		named = 0 // whoever the settings name and nobody has seen does not exist
@@ -38,7 +40,7 @@
 		return
 	}
 	// Where nobody is settled the whole cluster has started: then the settings' number holds.
-	s.divisor = max(counted, announced, s.cfg.Balancers)
+	s.divisor = max(counted, announced, s.named)
 	s.admitted = p.contacted && announced == 0
 }
 
--- a/internal/cluster/membership/sum_test.go
+++ b/internal/cluster/membership/sum_test.go
@@ -216,9 +216,9 @@
 	return n
 }
 
-// Whatever joins, is killed, cut off and returns, the parts of all live instances never sum up to more than the whole. The model
-// has the two assumptions of docs/membership.md: a cut lasts less than PartitionHold, and while one lasts each part keeps a
-// settled instance.
+// Whatever joins, is killed, cut off and returns, the parts of all live instances never sum up to more than the whole.
+// The model has the two assumptions of docs/membership.md: a cut lasts less than PartitionHold, and while one lasts
+// each part keeps a settled instance.
 func TestPartsNeverExceedTheBudget(t *testing.T) {
 	flag.Set("rapid.seed", "20261202")
 	flag.Set("rapid.nofailfile", "true")
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -111,20 +111,30 @@
 		}
 	}
 	files, _ := filepath.Glob("../../experiments/*.json")
-	scales := 0
-	for _, path := range files { // each is of the one kind or the other
+	scales, members := 0, 0
+	for _, path := range files { // each is of one of three kinds, and the other two refuse it by its name
 		_, err := Load(path)
 		_, scaleErr := LoadScale(path)
-		if strings.HasPrefix(filepath.Base(path), "two-years") {
+		_, membersErr := LoadMembers(path)
+		switch name := filepath.Base(path); {
+		case strings.HasPrefix(name, "two-years"):
 			scales++
 			err, scaleErr = scaleErr, err
+		case strings.HasPrefix(name, "membership"):
+			members++
+			err, membersErr = membersErr, err
 		}
-		if err != nil || scaleErr == nil || !strings.Contains(scaleErr.Error(), path+": ") {
-			t.Error(path, err, scaleErr)
+		if err != nil {
+			t.Error(path, err)
+		}
+		for _, other := range []error{scaleErr, membersErr} {
+			if other == nil || !strings.Contains(other.Error(), path+": ") {
+				t.Error(path, other)
+			}
 		}
 	}
-	if _, err := Load("nowhere.json"); len(files) < 7 || scales != 2 || !os.IsNotExist(err) {
-		t.Error(len(files), scales, err)
+	if _, err := Load("nowhere.json"); len(files) < 8 || scales != 2 || members != 1 || !os.IsNotExist(err) {
+		t.Error(len(files), scales, members, err)
 	}
 }
 
--- a/internal/lab/members_check.go
+++ b/internal/lab/members_check.go
@@ -211,8 +211,8 @@
 	return false
 }
 
-// untilAllSay is how long it takes until all that can tell say so of the i-th event's member, in milliseconds. Who is stopped or cut
-// off from most others before the aim's time is over, and has not told by then, cannot.
+// untilAllSay is how long it takes until all that can tell say so of the i-th event's member, in milliseconds. Who is
+// stopped or cut off from most others before the aim's time is over, and has not told by then, cannot.
 func (c *memberChecker) untilAllSay(i int, state membership.State, aim, span time.Duration) float64 {
 	said := map[int]time.Duration{}
 	for _, e := range c.events[i+1:] {
--- a/internal/lab/members_schedule.go
+++ b/internal/lab/members_schedule.go
@@ -57,8 +57,8 @@
 	partitionPart = 3 // one of so many members is on the smaller side at most
 )
 
-// drawMemberFaults draws the faults of a run of n instances from a seed, the earliest first. Each member has one fault at a time,
-// but for noise and pairs; the first instance, every other's seed, is never killed for good.
+// drawMemberFaults draws the faults of a run of n instances from a seed, the earliest first. Each member has one fault
+// at a time, but for noise and pairs; the first instance, every other's seed, is never killed for good.
 func drawMemberFaults(n int, seed uint64) []memberFault {
 	s := &memberSchedule{n: n, rng: rand.New(rand.NewPCG(seed, 5)), gone: map[int]bool{0: true}}
 	for range 3 {
