Take out a needless check, and hold the membership to planted faults

Each rule of sharing.go and of the confirmation was planted wrong once more. "Isolated confirms nothing" failed no test: no answers come then, so that the rule on answers holds by itself; it is taken out. A planned stop that counts on for the detection time had no test and has one.

--- a/internal/cluster/membership/machine.go
+++ b/internal/cluster/membership/machine.go
@@ -194,11 +194,11 @@
 	}
 }
 
-// confirm turns suspicions into failures. Nothing is confirmed while the own connection or process is in doubt, or while a
-// partition explains the loss as well.
+// confirm turns suspicions into failures. Nothing is confirmed after a pause of the own process until a round of members has
+// answered, nor while a partition explains the loss as well; an isolated instance gets no answers, and confirms nothing.
 func (m *Machine) confirm() {
 	others := m.others(Alive)
-	if m.isolated || m.afterWake != nil || m.partition.active || others == 0 {
+	if m.afterWake != nil || m.partition.active || others == 0 {
 		return
 	}
 	for _, r := range m.members {
--- a/internal/cluster/membership/machine_test.go
+++ b/internal/cluster/membership/machine_test.go
@@ -258,8 +258,16 @@
 	d := newDriver(t, 19)
 	d.m.Handle(d.now, MemberLeft{"m07", 1000})
 	d.want("m07", Left)
+	d.run(DefaultDetection - time.Second)
+	if got := d.m.View().Sharing.Zone; got != 20 {
+		t.Errorf("size %d before all have heard of a planned stop, want 20", got)
+	}
 	d.m.Handle(d.now, MemberLost{"m07", 1000})
 	d.want("m07", Left)
+	d.run(2 * time.Second)
+	if got := d.m.View().Sharing.Zone; got != 19 {
+		t.Errorf("size %d after a planned stop, want 19", got)
+	}
 	d.m.Handle(d.now, MemberAlive{member("m07", 1001)}) // a new process
 	d.want("m07", Alive)
 }
