Wait in TestFramesThatAreNotTaken for the state that the follower hands on

The test was wrong: it waits for the hub's version and counts the states at once, while the follower hands a state on only after the hub has it, and after a line of its log. It is as strict: it wants the sound version to be the one that is taken, and none after it.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -282,8 +282,17 @@
 			if err := <-played; err != nil {
 				t.Error(err)
 			}
-			if len(states) != 1 {
-				t.Errorf("%d states were taken", len(states))
+			// The hub has a version a moment before the follower hands it on.
+			select {
+			case taken := <-states:
+				if taken.Version != want.Version {
+					t.Errorf("version %s was taken, want %s", taken.Version, want.Version)
+				}
+			case <-time.After(soon):
+				t.Error("no state was taken")
+			}
+			if len(states) > 0 {
+				t.Errorf("%d more states were taken", len(states))
 			}
 		})
 	}
