Give the gossip tests a loopback address of their own

Its log was not kept, so the cause is supposed, not shown: the gossip tests take over a hundred ports of 127.0.0.1 in the same minute, and that test's addresses are free ports that it gives up before its processes bind them. They use 127.81.0.1 now, as cmd/cottonplank's own members do with another one.

--- a/internal/cluster/gossip/cluster_test.go
+++ b/internal/cluster/gossip/cluster_test.go
@@ -41,6 +41,9 @@
 	return ring
 }
 
+// gossipHost is a loopback address that no other package's tests use, so that the many ports of these take none of theirs.
+const gossipHost = "127.81.0.1:0"
+
 // given are the addresses that freeAddress has given out: whoever asked may bind them later.
 var given sync.Map
 
@@ -48,7 +51,7 @@
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
 	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", gossipHost)
 		if err != nil {
 			t.Fatal(err)
 		}
