--- a/review/standin/resting.go
+++ b/review/standin/resting.go
@@ -110,7 +110,7 @@
 		}
 		record("client %s: TCP state %d, %d segments unacknowledged, %d bytes unsent", c.id, state, unacknowledged, unsent)
 	}
-	record("client %s: %q after a rest of %d us: %s (%q, %v) after %d us", c.id, line, rest.Microseconds(), outcome, answer,
+	record("client %s: %q after %d us of rest: %s (%q, %v) in %d us", c.id, line, rest.Microseconds(), outcome, answer,
 		err, took.Microseconds())
 	return outcome
 }
