Send MOVE while a room server's lines arrive in pieces

Cause: the relay waits for the rest of a line that has arrived in part when a migrate command comes, and did so again for the next line, of which the piece that brought the rest had brought the beginning. It never came to an end before the client's write deadline and the engine's limit. MOVE has to stand between two lines of what the client is sent, and the relay forwards whole lines only, so it could have been sent after the first of them.

Change: serverLines awaits the rest of one line, until 0.3 s after the command, then returns what lines are complete and stops. The limit of the client's writes leaves half a second after that wait (0.8 s, within the engine's 0.9 s), which mends the entry on TestMigrateBetweenLines too. A connection that is aborted without MOVE is logged. All orders to move share this code: planned stop, LAMEDUCK, overloaded server, with a token or without.

--- a/internal/frontend/platform/attempt.go
+++ b/internal/frontend/platform/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/textproto"
+	"sync/atomic"
 	"time"
 
 	"cottonplank/decide"
@@ -36,6 +37,9 @@
 	requestLineSent bool
 	// established is closed when the relay of this connection starts.
 	established chan struct{}
+	// remainderDeadline is until when a migration waits for the rest of a line that has arrived in part. A migrate
+	// command sets it before it interrupts relayToClient.
+	remainderDeadline atomic.Pointer[time.Time]
 }
 
 // errClientNotWaiting is returned instead of dialing for a client that has closed the connection or has sent data
--- a/internal/frontend/platform/commands.go
+++ b/internal/frontend/platform/commands.go
@@ -10,6 +10,10 @@
 	"cottonplank/internal/session/protocol"
 )
 
+// migrateWriteTimeout limits the time for all writes to the client after a migrate command, MOVE included. It leaves
+// half a second after a line whose rest arrives late, and ends before the engine aborts the connection.
+const migrateWriteTimeout = lineRemainderTimeout + 500*time.Millisecond
+
 // command is an instruction of the engine to a clientConn. The actor executes the commands in the order in which the
 // engine issued them.
 type command interface {
@@ -118,12 +122,15 @@
 	// A draining room server closes its connections itself, so this command may arrive after the connection to it has
 	// ended. In that case the end was relayed to the client before, and nothing is left to do.
 	if c.established && c.upstream != nil {
+		now := time.Now()
+		// A client that does not read must not block relayToClient or this actor in a write, or the process would not
+		// stop in time.
+		c.conn.SetWriteDeadline(now.Add(migrateWriteTimeout))
+		remainderDeadline := now.Add(lineRemainderTimeout)
+		c.upstream.remainderDeadline.Store(&remainderDeadline)
 		// The expired deadline interrupts relayToClient, which stops between two lines and sends an upstreamClosedEvent.
 		// Until then the actor handles other events and commands.
 		c.upstream.conn.SetReadDeadline(expiredDeadline)
-		// A client that does not read must not block relayToClient or this actor in a write, or the process would not
-		// stop in time. lineRemainderTimeout counts against this deadline.
-		c.conn.SetWriteDeadline(time.Now().Add(migrateWriteTimeout))
 	}
 	return true
 }
@@ -133,5 +140,15 @@
 	// A request that has arrived must still be served. Therefore a connection whose request the actor has not handled yet
 	// is not aborted in two cases: readClient has already read the request line, or the kernel holds unread data, which
 	// may be a request.
+	c.logMissingMove()
 	return !c.requestSubmitted && (c.requestLineRead.Load() || hasUnreadData(c.conn))
 }
+
+// logMissingMove logs that the client is aborted after a migrate command but before MOVE was written, because its
+// connection accepts no more data.
+func (c *clientConn) logMissingMove() {
+	if c.upstream == nil || c.upstream.remainderDeadline.Load() == nil || c.clientHalfClosed {
+		return
+	}
+	c.frontend.log.WithField("client", c.conn.RemoteAddr()).Warn("client closed without MOVE: it does not read")
+}
--- a/internal/frontend/platform/fake_server_test.go
+++ b/internal/frontend/platform/fake_server_test.go
@@ -19,6 +19,8 @@
 type fakeServer struct {
 	name     string
 	listener net.Listener
+	// statsResponse returns the answer to a probe. If it is nil, probes are handled like requests.
+	statsResponse func() string
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -59,6 +61,10 @@
 	defer conn.Close()
 	r := bufio.NewReader(conn)
 	line, err := r.ReadString('\n')
+	for err == nil && s.statsResponse != nil && line == wordStats+lineEnd {
+		io.WriteString(conn, s.statsResponse())
+		line, err = r.ReadString('\n')
+	}
 	if err != nil {
 		return
 	}
--- a/internal/frontend/platform/relay.go
+++ b/internal/frontend/platform/relay.go
@@ -6,22 +6,10 @@
 	"errors"
 	"io"
 	"os"
-	"time"
 
 	"cottonplank/decide"
 )
 
-// lineRemainderTimeout is how long relayToClient waits for the rest of a line if a migrate command interrupts it after
-// it has read a part of the line.
-const lineRemainderTimeout = 300 * time.Millisecond
-
-// migrateWriteTimeout limits the time for all writes to the client after a migrate command, MOVE included.
-//
-// Known fault: the time starts with the command, so it includes the wait of up to lineRemainderTimeout for the rest of
-// a line. After a wait of that length, a further delay of more than 200 ms makes the write fail, and the client's
-// connection closes without MOVE.
-const migrateWriteTimeout = 500 * time.Millisecond
-
 // relayToUpstream forwards the client's bytes as they arrive. It returns the error with which reading from the client
 // ended, or nil if the upstream connection failed. If the server does not read, relayToUpstream stops reading from
 // the client.
@@ -64,9 +52,10 @@
 	}
 	code := decide.Reset
 	closeAnnounced := false
-	atLineStart := true
+	lines := serverLines{upstream: up}
 	for {
-		raw, err := readLineOrChunk(up)
+		startsLine := !lines.withinLine
+		raw, err := lines.next()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			if closeAnnounced {
 				err = io.EOF // The server's BYE or MOVE was forwarded, and no MOVE may follow it.
@@ -81,9 +70,7 @@
 				code, closeAnnounced = announced, true
 			}
 			c.setAwaitingResponse(false)
-			startsLine := atLineStart
-			atLineStart = raw[len(raw)-1] == '\n'
-			if tokens != nil && startsLine && atLineStart {
+			if tokens != nil && startsLine && !lines.withinLine {
 				raw = tokens.filterLine(raw)
 			}
 			if _, err := c.conn.Write(raw); err != nil {
@@ -116,25 +103,6 @@
 	return decide.OK, false
 }
 
-// readLineOrChunk reads a line, or as much of it as the read buffer holds. A migration interrupts it. Between two lines
-// it then returns os.ErrDeadlineExceeded. Within a line it waits up to lineRemainderTimeout for the rest of the line,
-// and returns os.ErrDeadlineExceeded if the rest does not arrive or exceeds the read buffer. The client therefore gets
-// either the complete line or none of it, except for a line that was forwarded in parts.
-func readLineOrChunk(up *upstreamConn) ([]byte, error) {
-	raw, err := up.text.R.ReadSlice('\n')
-	if len(raw) == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-		return raw, err
-	}
-	start := bytes.Clone(raw)
-	up.conn.SetReadDeadline(time.Now().Add(lineRemainderTimeout))
-	raw, err = up.text.R.ReadSlice('\n')
-	if err != nil {
-		return nil, os.ErrDeadlineExceeded
-	}
-	up.conn.SetReadDeadline(expiredDeadline)
-	return append(start, raw...), nil
-}
-
 // handleClientClosed relays the end of the client's side to the room server: a FIN as a FIN, a reset as a reset. It
 // returns false if the actor has to end.
 func (c *clientConn) handleClientClosed(err error) bool {
--- a/internal/frontend/platform/relay_test.go
+++ b/internal/frontend/platform/relay_test.go
@@ -124,10 +124,8 @@
 }
 
 // If a line was read in part when a migration starts, the complete line is relayed before MOVE. After the room
-// server's own BYE or MOVE, no further MOVE follows.
-//
-// Known fault: the write deadline of 0.5 s starts with the migrate command, and the wait for the rest of a line uses
-// up to 0.3 s of it. This test may therefore fail if a goroutine is delayed by more than 0.2 s.
+// server's own BYE or MOVE, no further MOVE follows. All writes have to end within migrateWriteTimeout, so this test
+// may fail if a goroutine is delayed by more than half a second.
 func TestMigrateBetweenLines(t *testing.T) {
 	t.Parallel()
 	b := newTestBalancer(t)
