Keep QUIC requests at the old process while an upgrade's two processes run

Cause: from the moment in which the new process serves, it alone reads client datagrams. The id of a first packet is the client's own, so the new process had no flow for a client's repeated first packet and began a new request.

Ruled out: a retry by the old process. With a trace of each attempt in a scratch copy, all nine requests that were pending at the old process had an attempt number 0 in either process, none an attempt number 1.

Change: the QUIC frontends of the two processes are connected by a link, which is passed among the sockets under a name that the last version closes as unused. Each describes its flows over it before it acts on them (pending, established where, answered with what), the one that reads the socket forwards the datagrams of the other's flows, and reads only after the other has stopped. After the end of a process the other restores its connections, repeats its answers, and fails what was pending there unless the class may be executed twice. Beside a process of a version without the link, first packets are dropped until it ends. Nothing of this runs without a QUIC front.

--- a/cmd/cottonplank/daemon.go
+++ b/cmd/cottonplank/daemon.go
@@ -49,7 +49,9 @@
 	managementListener *net.TCPListener // nil if no management address is configured
 	quicFrontend       *quic.Frontend   // nil if QUIC is not configured
 	quicPauser         *hotrestart.Pauser
-	snmpAgent          *snmp.Agent // nil if SNMP is not configured
+	previousQUIC       *net.UnixConn // link to the QUIC frontend of the previous process; nil if there is none
+	inheritedQUIC      bool          // the QUIC socket is that of the previous process, or was opened by a supervisor
+	snmpAgent          *snmp.Agent   // nil if SNMP is not configured
 	snmpPauser         *hotrestart.Pauser
 	notifier           *sdnotify.Notifier
 	prober             *platform.Prober
@@ -129,6 +131,8 @@
 func (d *daemon) start(ctx context.Context, hangup <-chan os.Signal) {
 	d.running.Go(func() { d.discovery.Run(ctx) })
 	d.running.Go(func() { d.engine.Run(ctx, d.prober, d.discovery); d.prober.Wait() })
+	d.restart = newRestartCoordinator(d) // pauses the sockets, if there is a previous process, before they are read
+	d.startDatagramServers(ctx)
 	d.startHotRestart(ctx)
 	d.running.Go(func() { d.frontend.Serve(ctx, d.clientListener, d.clientPauser) })
 	d.startManagement(ctx)
@@ -136,7 +140,6 @@
 	d.startReloader(ctx, hangup)
 	go d.notifier.Run(ctx) // not in d.running: the supervisor's socket may block, so shutdown limits this wait separately
 	d.running.Go(func() { notifyReady(ctx, d.engine, d.notifier, d.previous != nil) })
-	d.startDatagramServers(ctx)
 	d.log.WithFields(logrus.Fields{
 		"name":            d.cfg.Name,
 		"listen":          d.cfg.Listen,
--- a/cmd/cottonplank/frontends.go
+++ b/cmd/cottonplank/frontends.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"cottonplank/decide"
 	"cottonplank/internal/config"
 	"cottonplank/internal/core"
 	"cottonplank/internal/frontend/platform"
@@ -46,14 +47,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("quic front: %w", err)
 	}
+	class := cfg.Settings.Classes[settings.ClassIndex]
 	return quic.New(quic.Config{
-		Conn:     conn,
-		IDs:      ids,
-		ResetKey: settings.ResetKey,
-		Class:    settings.ClassIndex,
-		Timeout:  cfg.Settings.Classes[settings.ClassIndex].ClientTimeout,
-		Idle:     settings.IdleTimeout,
-		MaxFlows: settings.MaxFlows,
+		Conn:       conn,
+		IDs:        ids,
+		ResetKey:   settings.ResetKey,
+		Class:      settings.ClassIndex,
+		Timeout:    class.ClientTimeout,
+		Idle:       settings.IdleTimeout,
+		MaxFlows:   settings.MaxFlows,
+		Repeatable: class.Idempotency == decide.Idempotent,
 	}, engine, log), nil
 }
 
@@ -74,6 +77,9 @@
 	if d.quicFrontend != nil {
 		d.running.Go(func() { d.quicFrontend.Serve(ctx, d.quicPauser) })
 	}
+	if d.previousQUIC != nil {
+		d.quicFrontend.AddPrevious(ctx, d.previousQUIC)
+	}
 	if d.snmpAgent != nil {
 		d.running.Go(func() { d.snmpAgent.Serve(ctx, d.snmpPauser) })
 	}
--- a/cmd/cottonplank/listeners.go
+++ b/cmd/cottonplank/listeners.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"slices"
 
 	"cottonplank/internal/core"
 	"cottonplank/internal/operations/hotrestart"
@@ -18,6 +19,9 @@
 	snmpSocket   = "snmp"
 )
 
+// quicFlowsLink is the name of the link between the QUIC frontends of two processes during a hot restart.
+const quicFlowsLink = "quic-flows"
+
 // inheritSockets requests the sockets of a running process and adds the sockets that a service supervisor has passed.
 // Of two sockets with the same name, it keeps the running process's socket. It also applies the memory limit: while
 // two processes run, each gets half of it.
@@ -60,6 +64,7 @@
 	if settings.Listen == "" {
 		return nil
 	}
+	d.inheritedQUIC = slices.Contains(d.sockets.Unused(), quicSocket)
 	conn, err := d.sockets.ListenUDP(quicSocket, settings.Listen)
 	if err != nil {
 		return err
@@ -69,7 +74,8 @@
 	}
 	d.quicFrontend.SetWatchdog(d.monitor.AddTask(quicTask))
 	d.quicPauser = newDatagramPauser(conn)
-	return nil
+	d.previousQUIC, err = d.sockets.TakeLink(quicFlowsLink)
+	return err
 }
 
 func (d *daemon) openSNMP() error {
--- a/cmd/cottonplank/process_test.go
+++ b/cmd/cottonplank/process_test.go
@@ -211,7 +211,8 @@
 }
 
 // start starts a balancer process. If one of the deployment is running, the new one replaces it in a hot restart.
-func (d *deployment) start(discovery string) *process {
+// environment follows the environment variables that are always set, and overrides them.
+func (d *deployment) start(discovery string, environment ...string) *process {
 	d.t.Helper()
 	path := filepath.Join(d.dir, "config.json")
 	replaceFile(d.t, path, fmt.Sprintf(`{"name":"n3","listen":%q,"discovery":%q,"seed":%q,
@@ -219,7 +220,8 @@
 "settings":{"zone":"a","membership_mode":"subscribe",
 "profiles":[{"name":"solo-play","aim_s":0.3,"give_up_s":2,"repeat":"idempotent"}]}}`,
 		d.listen, discovery, d.seed, d.server))
-	return startProcess(d.t, freeAddress(d.t), serveEnvironment+"=1", "PROXY_CONFIG="+path, "TMPDIR="+d.dir)
+	always := []string{serveEnvironment + "=1", "PROXY_CONFIG=" + path, "TMPDIR=" + d.dir}
+	return startProcess(d.t, freeAddress(d.t), append(always, environment...)...)
 }
 
 // process is a balancer that runs in a separate process.
--- a/cmd/cottonplank/restart.go
+++ b/cmd/cottonplank/restart.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"cottonplank/internal/cluster/gossip"
 	"cottonplank/internal/config"
 	"cottonplank/internal/core"
 	"cottonplank/internal/frontend/platform"
+	"cottonplank/internal/frontend/quic"
 	"cottonplank/internal/operations/hotrestart"
 )
 
@@ -23,6 +25,8 @@
 	engine    *core.Engine
 	frontend  *platform.Frontend
 	cluster   *gossip.Cluster // nil if no cluster membership is configured
+	quic      *quic.Frontend  // nil if QUIC is not configured
+	unlinked  bool            // the previous process may hold QUIC flows that it does not describe
 	clients   *hotrestart.Pauser
 	datagrams []*hotrestart.Pauser
 	updates   chan func()   // functions that change the state below; run calls them
@@ -30,6 +34,7 @@
 
 	previousAlive     bool // a previous process is running
 	awaitingReadiness bool // this process is not ready yet; the previous process serves
+	awaitingFlows     bool // the previous process has not described its QUIC flows yet, and may read datagrams
 	replacements      hotrestart.Replacements
 	stopping          bool // graceful shutdown has begun
 	accepting         bool // this process accepts connections
@@ -45,6 +50,8 @@
 		engine:    d.engine,
 		frontend:  d.frontend,
 		cluster:   d.cluster,
+		quic:      d.quicFrontend,
+		unlinked:  d.previous != nil && d.inheritedQUIC && d.previousQUIC == nil,
 		clients:   d.clientPauser,
 		datagrams: d.datagramPausers(),
 		updates:   make(chan func()),
@@ -57,6 +64,7 @@
 	}
 	c.previousAlive = true
 	c.awaitingReadiness = true
+	c.awaitingFlows = true
 	c.accepting = false
 	c.reading = false
 	setRunning(false, c.datagrams...)
@@ -64,12 +72,14 @@
 	return c
 }
 
-// startHotRestart starts the coordinator. On request, this process passes its sockets to replacement processes: from
+// startHotRestart starts d.restart. On request, this process passes its sockets to replacement processes: from
 // now on if there is no previous process, otherwise once it accepts connections.
 func (d *daemon) startHotRestart(ctx context.Context) {
-	d.restart = newRestartCoordinator(d)
 	exportLearned := func() []string { return d.engine.ExportLearned(exportLearnedTimeout) }
 	server := hotrestart.NewServer(d.restartPath, d.sockets, exportLearned, d.restart.setReplacements, d.log)
+	if d.quicFrontend != nil {
+		server.OfferLink(quicFlowsLink, func(conn *net.UnixConn) { d.quicFrontend.AddReplacement(ctx, conn) })
+	}
 	d.running.Go(func() { d.restart.run(ctx) })
 	d.running.Go(func() {
 		if d.previous == nil || d.restart.replacePrevious(ctx, d.previous) {
@@ -116,9 +126,22 @@
 	c.post(func() { c.awaitingReadiness = false })
 	previous.NotifyServing()
 	go c.awaitExit(previous)
+	c.takeOverFlows(ctx, previous)
+	c.post(func() { c.awaitingFlows = false })
 	return true
 }
 
+// takeOverFlows returns when this process may read the datagrams of QUIC clients.
+func (c *restartCoordinator) takeOverFlows(ctx context.Context, previous *hotrestart.PreviousProcess) {
+	switch {
+	case c.quic == nil:
+	case c.unlinked:
+		c.quic.HoldRequests(previous.Exited)
+	default:
+		c.quic.WaitForPreviousPause(ctx)
+	}
+}
+
 // awaitExit waits for the exit of the previous process and records it. It returns early if run returns.
 func (c *restartCoordinator) awaitExit(previous *hotrestart.PreviousProcess) {
 	select {
@@ -152,9 +175,10 @@
 		c.accepting = accepting
 		setRunning(accepting, c.clients)
 	}
-	// Only one process reads datagrams, except for a moment when a replacement process begins to serve. If two
-	// processes read from the shared UDP socket, the packets of a QUIC connection are distributed between them.
-	if reading := !c.awaitingReadiness && !replaced; reading != c.reading {
+	// Only one process reads datagrams: the reader knows which QUIC flows the other process holds, and forwards their
+	// datagrams. Both read only for a moment, where the previous process is of a version that does not describe its
+	// flows or does so too late.
+	if reading := !c.awaitingReadiness && !c.awaitingFlows && !replaced; reading != c.reading {
 		c.reading = reading
 		setRunning(reading, c.datagrams...)
 	}
--- a/internal/frontend/quic/flow.go
+++ b/internal/frontend/quic/flow.go
@@ -38,6 +38,11 @@
 	// server is the room server of the established connection; 0 until the connection is established. It remains
 	// after a migration. The router's goroutine owns it.
 	server decide.ServerID
+	// restoredAt is the room server of a restored flow, otherwise 0. The router's goroutine owns it.
+	restoredAt decide.ServerID
+	// sentAnswer is the packet that has rejected or failed the request; nil if there is none. The router's goroutine
+	// owns it.
+	sentAnswer []byte
 
 	// commands passes the engine's commands to run.
 	commands chan func()
@@ -114,7 +119,7 @@
 // run handles the flow's commands and datagrams until the flow or ctx ends.
 func (fl *flow) run(ctx context.Context) {
 	defer fl.frontend.engine.ClientClosed(fl.call)
-	defer fl.frontend.runInRouter(func() { fl.frontend.flows.remove(fl) })
+	defer fl.frontend.runInRouter(func() { fl.frontend.removeFlow(ctx, fl) })
 	defer close(fl.done)
 	defer fl.closeUpstream()
 	for !fl.ended {
@@ -133,6 +138,23 @@
 	}
 }
 
+// record describes the flow to peers. It runs in the router's goroutine.
+func (fl *flow) record() flowRecord {
+	record := flowRecord{State: flowPending}
+	for _, id := range fl.ids {
+		record.IDs = append(record.IDs, []byte(id))
+	}
+	switch {
+	case fl.sentAnswer != nil:
+		record.State, record.Answer = flowAnswered, fl.sentAnswer
+	case fl.server != 0:
+		record.State, record.Server = flowEstablished, fl.server
+	case fl.restoredAt != 0:
+		record.State, record.Server = flowEstablished, fl.restoredAt
+	}
+	return record
+}
+
 // deliver passes a datagram from the client to run. It drops the datagram if the queue is full, because it is called
 // by the router, which must not block.
 func (fl *flow) deliver(d datagram, p packet) {
--- a/internal/frontend/quic/flow_attempt.go
+++ b/internal/frontend/quic/flow_attempt.go
@@ -118,7 +118,10 @@
 	}
 	fl.established = true
 	server := fl.upstream.server
-	fl.frontend.runInRouter(func() { fl.server = server })
+	fl.frontend.runInRouter(func() {
+		fl.server = server
+		fl.frontend.announceFlow(fl)
+	})
 	if fl.restored {
 		for _, raw := range fl.retained {
 			fl.sendToServer(raw)
--- a/internal/frontend/quic/flow_close.go
+++ b/internal/frontend/quic/flow_close.go
@@ -29,6 +29,10 @@
 		return
 	}
 	fl.finalAnswer = raw
+	fl.frontend.runInRouter(func() { // Before the client gets the answer, as it may then forget the connection.
+		fl.sentAnswer = raw
+		fl.frontend.announceFlow(fl)
+	})
 	fl.frontend.send(raw, fl.clientAddress)
 }
 
--- a/internal/frontend/quic/flow_datagrams.go
+++ b/internal/frontend/quic/flow_datagrams.go
@@ -163,7 +163,7 @@
 	}
 	id := clone(p.sourceID)
 	fl.lastServerSourceID = id
-	fl.frontend.runInRouter(func() { fl.frontend.flows.addID(fl, id) })
+	fl.frontend.runInRouter(func() { fl.frontend.addFlowID(fl, id) })
 }
 
 // decryptClose returns the CONNECTION_CLOSE frame in an Initial packet, or nil if there is none or the packet cannot be
--- a/internal/frontend/quic/flow_table.go
+++ b/internal/frontend/quic/flow_table.go
@@ -1,6 +1,7 @@
 package quic
 
 import (
+	"iter"
 	"net/netip"
 
 	"cottonplank/decide"
@@ -27,17 +28,30 @@
 }
 
 // addID adds a connection ID to a flow, unless the ID is empty or already in the table. If the flow has maxFlowIDs
-// connection IDs, its oldest one is removed.
-func (t *flowTable) addID(fl *flow, id []byte) {
+// connection IDs, its oldest one is removed and returned.
+func (t *flowTable) addID(fl *flow, id []byte) (removed string) {
 	if len(id) == 0 || t.byID[string(id)] != nil {
-		return
+		return ""
 	}
 	if len(fl.ids) >= maxFlowIDs {
-		delete(t.byID, fl.ids[0])
+		removed = fl.ids[0]
+		delete(t.byID, removed)
 		fl.ids = fl.ids[1:]
 	}
 	fl.ids = append(fl.ids, string(id))
 	t.byID[string(id)] = fl
+	return removed
+}
+
+// all yields each flow once.
+func (t *flowTable) all() iter.Seq[*flow] {
+	return func(yield func(*flow) bool) {
+		for id, fl := range t.byID {
+			if id == fl.ids[0] && !yield(fl) {
+				return
+			}
+		}
+	}
 }
 
 // remove removes a flow and its connection IDs.
--- a/internal/frontend/quic/frontend.go
+++ b/internal/frontend/quic/frontend.go
@@ -54,6 +54,8 @@
 	// MaxFlows is the maximum number of flows. When it is reached, further requests are rejected, and datagrams of
 	// established connections that have no flow are dropped.
 	MaxFlows int
+	// Repeatable says that a request that a room server may have executed may be executed again.
+	Repeatable bool
 }
 
 // Frontend routes datagrams from clients to room servers, and from room servers to clients. Each client connection is
@@ -67,7 +69,7 @@
 	watchdog core.Watchdog
 	// replyLimit enforces maxRepliesPerSecond.
 	replyLimit *rate.Limiter
-	// goroutines counts the running goroutines: flow.run, flow.readServer and readDatagrams.
+	// goroutines counts the running goroutines: flow.run, flow.readServer, readDatagrams and watchPeer.
 	goroutines sync.WaitGroup
 
 	// datagrams passes client datagrams to the router.
@@ -78,6 +80,16 @@
 	routerDone chan struct{}
 	// flows is owned by the router's goroutine.
 	flows flowTable
+	// remote holds the flows of peers. The router's goroutine owns it.
+	remote remoteFlows
+	// peers are the other processes that hold the socket for client datagrams. The router's goroutine owns it.
+	peers []*peer
+	// reading says whether client datagrams are read from the socket. The router's goroutine owns it.
+	reading bool
+	// requestsHeld says that the first packets of clients are dropped. The router's goroutine owns it.
+	requestsHeld bool
+	// pauseWaiters are closed when no peer reads client datagrams. The router's goroutine owns it.
+	pauseWaiters []chan struct{}
 }
 
 // datagram is a UDP datagram and its sender's address.
@@ -103,6 +115,8 @@
 		routerTasks: make(chan func()),
 		routerDone:  make(chan struct{}),
 		flows:       newFlowTable(),
+		remote:      newRemoteFlows(),
+		reading:     true,
 	}
 }
 
@@ -142,9 +156,8 @@
 			return
 		}
 		if err != nil {
-			// Either the socket is paused, or the error concerns only one datagram. In the second case
-			// WaitWhilePaused returns at once.
-			pause.WaitWhilePaused(ctx, err)
+			// Either the socket is paused, or the error concerns only one datagram.
+			f.waitWhilePaused(ctx, pause, err)
 			continue
 		}
 		select {
@@ -155,12 +168,17 @@
 	}
 }
 
-// runInRouter passes task to the router's goroutine, unless the router has ended. It blocks until the router receives
-// the task. A flow may call it without a deadlock, because the router never blocks on a flow.
-func (f *Frontend) runInRouter(task func()) {
+// runInRouter runs task in the router's goroutine and returns when the task has ended. It returns false, without
+// running the task, if the router has ended. A flow may call it without a deadlock, because the router never blocks on
+// a flow.
+func (f *Frontend) runInRouter(task func()) bool {
+	ended := make(chan struct{})
 	select {
-	case f.routerTasks <- task:
+	case f.routerTasks <- func() { task(); close(ended) }:
+		<-ended
+		return true
 	case <-f.routerDone:
+		return false
 	}
 }
 
--- a/internal/frontend/quic/router.go
+++ b/internal/frontend/quic/router.go
@@ -29,6 +29,9 @@
 		fl.deliver(d, p)
 		return
 	}
+	if remote := f.findRemote(ctx, p.destinationID); remote != nil && f.routeRemote(ctx, d, p, remote) {
+		return
+	}
 	if p.long && p.version != version1 {
 		f.negotiateVersion(d, p)
 		return
@@ -53,30 +56,37 @@
 	}
 }
 
-// beginFlow handles a client's first Initial packet, which is a request. Packets that cannot be decrypted with the
-// keys that are derived from their own destination connection ID are dropped, as endpoints do (RFC 9001, section
-// 5.2).
-func (f *Frontend) beginFlow(ctx context.Context, d datagram, p packet) {
-	if len(d.raw) < minInitialSize || len(p.destinationID) < minOriginalIDLength {
-		return
+// isRequest reports whether a packet is a client's first Initial packet. Packets that cannot be decrypted with the keys
+// that are derived from their own destination connection ID are not, as for endpoints (RFC 9001, section 5.2), nor is
+// the repeated close from a client whose flow has ended.
+func (f *Frontend) isRequest(d datagram, p packet) bool {
+	if !p.isInitial() || len(d.raw) < minInitialSize || len(p.destinationID) < minOriginalIDLength {
+		return false
 	}
 	keys, err := newInitialKeys(p.destinationID, clientInitialLabel)
 	if err != nil {
 		f.log.WithError(err).Error("quic: cannot derive the keys of an Initial packet")
-		return
+		return false
 	}
 	payload, err := keys.unprotect(d.raw, p)
 	if err != nil {
-		return
+		return false
 	}
-	if closed, err := findClose(payload); err == nil && closed != nil {
-		return // a repeated close from a client whose flow has ended
+	closed, err := findClose(payload)
+	return err != nil || closed == nil
+}
+
+// beginFlow handles a client's first Initial packet, which is a request. It drops other packets, and requests while
+// they are held.
+func (f *Frontend) beginFlow(ctx context.Context, d datagram, p packet) {
+	if f.requestsHeld || !f.isRequest(d, p) {
+		return
 	}
 	if f.flows.count >= f.cfg.MaxFlows {
 		f.rejectWithoutFlow(d, p)
 		return
 	}
-	fl := f.startFlow(ctx, d, p)
+	fl := f.startFlow(ctx, d, p, 0)
 	fl.originalID, fl.clientID = clone(p.destinationID), clone(p.sourceID)
 	fl.deliver(d, p)
 	f.engine.RequestReceived(fl.call, core.Request{
@@ -103,26 +113,54 @@
 	if !p.long {
 		// If a flow has the same server and client address, only the connection ID has changed.
 		if fl := f.flows.find(server, d.from); fl != nil {
-			f.flows.addID(fl, p.destinationID)
+			f.addFlowID(fl, p.destinationID)
 			fl.deliver(d, p)
 			return
 		}
 	}
+	f.restoreAt(ctx, d, p, server)
+}
+
+// restoreAt begins a flow that restores a connection at its room server.
+func (f *Frontend) restoreAt(ctx context.Context, d datagram, p packet, server decide.ServerID) {
 	if f.flows.count >= f.cfg.MaxFlows {
 		return // the client's loss recovery sends the data again
 	}
-	fl := f.startFlow(ctx, d, p)
+	fl := f.startFlow(ctx, d, p, server)
 	fl.restored = true
 	fl.deliver(d, p)
 	request := core.Request{Class: f.cfg.Class, Key: d.from.Addr().String()}
 	f.engine.RestoreConnection(fl.call, request, server, 0) // 0: without waiting for an unavailable room server
 }
 
-// startFlow adds a flow for the packet's destination connection ID and starts the flow's goroutine.
-func (f *Frontend) startFlow(ctx context.Context, d datagram, p packet) *flow {
+// startFlow adds a flow for the packet's destination connection ID and starts the flow's goroutine. restoredAt is the
+// room server at which the connection is restored, or 0.
+func (f *Frontend) startFlow(ctx context.Context, d datagram, p packet, restoredAt decide.ServerID) *flow {
 	fl := newFlow(f, d.from)
+	fl.restoredAt = restoredAt
+	delete(f.remote.byID, string(p.destinationID))
 	f.flows.add(fl, p.destinationID)
+	f.announceFlow(fl) // Before an attempt, of which another process must know.
 	fl.call = f.engine.Accept(fl, core.ConnTraits{Linger: flowLinger, Idle: f.cfg.Idle, Resumable: true})
 	f.goroutines.Go(func() { fl.run(ctx) })
 	return fl
 }
+
+// addFlowID adds a connection ID to a flow.
+func (f *Frontend) addFlowID(fl *flow, id []byte) {
+	if removed := f.flows.addID(fl, id); removed != "" {
+		f.announce(flowRecord{IDs: [][]byte{[]byte(removed)}, State: flowEnded})
+	}
+	f.announceFlow(fl)
+}
+
+// removeFlow removes a flow that has ended. If it has ended because ctx has, which is the end of the process, the
+// peers keep what they know of it.
+func (f *Frontend) removeFlow(ctx context.Context, fl *flow) {
+	if ctx.Err() == nil {
+		record := fl.record()
+		record.State = flowEnded
+		f.announce(record)
+	}
+	f.flows.remove(fl)
+}
--- a/internal/frontend/quic/test_balancer_test.go
+++ b/internal/frontend/quic/test_balancer_test.go
@@ -25,6 +25,8 @@
 	pause    *hotrestart.Pauser
 	frontend *Frontend
 	engine   *core.Engine
+	// ctx ends when the balancer stops.
+	ctx context.Context
 	// stop stops the frontend and the engine and waits for their goroutines.
 	stop func()
 }
@@ -55,10 +57,17 @@
 func newTestBalancer(t testing.TB, listen string, ids *IDFormat, change func(*Config),
 	endpoints ...core.Endpoint) *testBalancer {
 	t.Helper()
+	return newTestBalancerWithSettings(t, listen, ids, change, testSettings(), endpoints...)
+}
+
+// newTestBalancerWithSettings is like newTestBalancer with other settings.
+func newTestBalancerWithSettings(t testing.TB, listen string, ids *IDFormat, change func(*Config),
+	settings decide.Settings, endpoints ...core.Endpoint) *testBalancer {
+	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	engine, err := core.New(core.Config{
-		Settings:   testSettings(),
+		Settings:   settings,
 		Known:      endpoints,
 		MaxClients: 100,
 		Log:        func(string) {},
@@ -85,12 +94,12 @@
 	if change != nil {
 		change(&cfg)
 	}
-	frontend, pause := New(cfg, engine, log), hotrestart.NewPauser(conn.SetReadDeadline)
+	frontend, pause := New(cfg, engine, log), hotrestart.NewPauser(cfg.Conn.SetReadDeadline)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { engine.Run(ctx, stub.Prober{}, stub.Discovery{}) })
 	running.Go(func() { frontend.Serve(ctx, pause) })
-	b := &testBalancer{frontend: frontend, pause: pause, engine: engine}
+	b := &testBalancer{frontend: frontend, pause: pause, engine: engine, ctx: ctx}
 	b.stop = sync.OnceFunc(func() { cancel(); running.Wait() })
 	t.Cleanup(b.stop)
 	return b
--- a/internal/operations/hotrestart/server.go
+++ b/internal/operations/hotrestart/server.go
@@ -34,6 +34,8 @@
 	log     *logrus.Logger
 	changed func(Replacements)
 	learned func() []string
+	// link is offered to replacement processes; nil if there is none.
+	link *link
 	// socketFile describes the Unix socket that this process has created at path; nil before that.
 	socketFile os.FileInfo
 	// connections waits for the goroutines that accept and serve connections. Serve returns only after them.
@@ -189,10 +191,14 @@
 		s.log.WithError(err).Warnf("hot restart: unknown request %.40q", request)
 		return
 	}
-	if err := s.passSockets(conn); err != nil {
+	linkConn, err := s.passSockets(conn)
+	if err != nil {
 		s.log.WithError(err).Error("hot restart: the sockets were not passed on")
 		return
 	}
+	if linkConn != nil {
+		s.link.accept(linkConn)
+	}
 	conn.SetDeadline(time.Time{})
 	report := func(state replacementState) {
 		select {
@@ -229,12 +235,24 @@
 }
 
 // passSockets sends the names and descriptors of the open sockets, unless the replacement process belongs to another
-// user.
-func (s *Server) passSockets(conn *net.UnixConn) error {
+// user. If the server offers a link, it sends one end of a new link too, and returns the other end.
+func (s *Server) passSockets(conn *net.UnixConn) (*net.UnixConn, error) {
 	if err := checkPeerUser(conn); err != nil {
-		return err
+		return nil, err
+	}
+	if s.link == nil {
+		return nil, sendSockets(conn, s.sockets.open, nil, nil)
+	}
+	own, other, err := newLinkPair()
+	if err != nil {
+		return nil, err
+	}
+	defer unix.Close(other)
+	if err := sendSockets(conn, s.sockets.open, []string{s.link.name}, []int{other}); err != nil {
+		own.Close()
+		return nil, err
 	}
-	return sendSockets(conn, s.sockets.open, nil, nil)
+	return own, nil
 }
 
 // sendSockets appends the remaining sockets to names and descriptors, and then sends both. It calls itself within
