Let MOVE reach clients that read slowly or have stopped reading

What callers saw: a client that had stopped reading, or read slowly, until the system's send buffer was full was cut off at a planned stop without MOVE, in the middle of a line, although its room server answered and the client read on later.

Cause: the relay waits in a write to such a client until the limit of the client's writes, 0.8 s after the order to move, is over; it never comes to write MOVE.

Ruled out: the close after MOVE. TestMoveReachesSlowReader, whose client reads only after the balancer has ended, but with room in the send buffer, passed before: what has been written reaches the client.

Change: at most 16 KiB that were not sent yet wait in the kernel for an established client (TCP_NOTSENT_LOWAT). A migrate command lifts that limit, so the write that waits continues and what is left, at most 4 KiB and MOVE, fits in the rest of the send buffer. Where the option is not to be had, writes go on without it.

--- a/internal/frontend/platform/client_conn.go
+++ b/internal/frontend/platform/client_conn.go
@@ -241,6 +241,7 @@
 		c.closeHolder()
 		c.initTokenIssuer()
 	}
+	limitUnsentBytes(c.conn, maxUnsentBytes)
 	close(c.upstream.established)
 	c.relayTo <- c.upstream
 	return true
--- a/internal/frontend/platform/commands.go
+++ b/internal/frontend/platform/commands.go
@@ -124,7 +124,8 @@
 	if c.established && c.upstream != nil {
 		now := time.Now()
 		// A client that does not read must not block relayToClient or this actor in a write, or the process would not
-		// stop in time.
+		// stop in time. Without the limit, the kernel takes what is left to write.
+		limitUnsentBytes(c.conn, unlimitedUnsentBytes)
 		c.conn.SetWriteDeadline(now.Add(migrateWriteTimeout))
 		remainderDeadline := now.Add(lineRemainderTimeout)
 		c.upstream.remainderDeadline.Store(&remainderDeadline)
--- a/internal/frontend/platform/migrate_pieces_test.go
+++ b/internal/frontend/platform/migrate_pieces_test.go
@@ -208,3 +208,31 @@
 	c.wantLine("UP receipt-1\r\n")
 	c.wantLinesBeforeMove("re hello\r\n", 1)
 }
+
+// A client that has stopped reading, so that no more data can be written to it, still gets its line complete and MOVE
+// once it reads on, even if that is after the balancer has stopped.
+func TestMoveReachesBlockedReader(t *testing.T) {
+	t.Parallel()
+	blocked := make(chan struct{})
+	line := "re " + strings.Repeat("x", 1000) + "\r\n"
+	b := newTestBalancer(t, newFakeServer(t, "s-1", func(conn net.Conn, _ *bufio.Reader) {
+		io.WriteString(conn, "UP receipt-1\r\n"+line[:500])
+		for piece := line[500:] + line[:500]; ; {
+			conn.SetWriteDeadline(time.Now().Add(500 * time.Millisecond))
+			if _, err := io.WriteString(conn, piece); err != nil {
+				break
+			}
+		}
+		close(blocked)
+		conn.SetDeadline(time.Time{})
+		io.Copy(io.Discard, conn)
+	}))
+	c := b.newClient(t)
+	c.conn.SetReadBuffer(64 << 10)
+	c.send(newRequestLine())
+	<-blocked
+	<-b.engine.Drain(3400*time.Millisecond, nil)
+	b.stop()
+	c.wantLine("UP receipt-1\r\n")
+	c.wantLinesBeforeMove(line, 1)
+}
