--- a/cmd/cottonplank/listeners.go
+++ b/cmd/cottonplank/listeners.go
@@ -74,7 +74,7 @@
 	}
 	d.quicFrontend.SetWatchdog(d.monitor.AddTask(quicTask))
 	d.quicPauser = newDatagramPauser(conn)
-	d.previousQUIC, err = d.sockets.TakeLink(quicFlowsLink)
+	d.previousQUIC, err = d.sockets.AcceptLink(quicFlowsLink)
 	return err
 }
 
--- a/cmd/cottonplank/restart.go
+++ b/cmd/cottonplank/restart.go
@@ -126,17 +126,17 @@
 	c.post(func() { c.awaitingReadiness = false })
 	previous.NotifyServing()
 	go c.awaitExit(previous)
-	c.takeOverFlows(ctx, previous)
+	c.awaitFlowHandover(ctx, previous)
 	c.post(func() { c.awaitingFlows = false })
 	return true
 }
 
-// takeOverFlows returns when this process may read the datagrams of QUIC clients.
-func (c *restartCoordinator) takeOverFlows(ctx context.Context, previous *hotrestart.PreviousProcess) {
+// awaitFlowHandover returns when this process may read the datagrams of QUIC clients.
+func (c *restartCoordinator) awaitFlowHandover(ctx context.Context, previous *hotrestart.PreviousProcess) {
 	switch {
 	case c.quic == nil:
 	case c.unlinked:
-		c.quic.HoldRequests(previous.Exited)
+		c.quic.SuspendRequests(previous.Exited)
 	default:
 		c.quic.WaitForPreviousPause(ctx)
 	}
--- a/internal/frontend/platform/commands.go
+++ b/internal/frontend/platform/commands.go
@@ -141,13 +141,13 @@
 	// A request that has arrived must still be served. Therefore a connection whose request the actor has not handled yet
 	// is not aborted in two cases: readClient has already read the request line, or the kernel holds unread data, which
 	// may be a request.
-	c.logMissingMove()
+	c.logMissingMigration()
 	return !c.requestSubmitted && (c.requestLineRead.Load() || hasUnreadData(c.conn))
 }
 
-// logMissingMove logs that the client is aborted after a migrate command but before MOVE was written, because its
+// logMissingMigration logs that the client is aborted after a migrate command but before MOVE was written, because its
 // connection accepts no more data.
-func (c *clientConn) logMissingMove() {
+func (c *clientConn) logMissingMigration() {
 	if c.upstream == nil || c.upstream.remainderDeadline.Load() == nil || c.clientHalfClosed {
 		return
 	}
--- a/internal/frontend/platform/migrate_pieces_test.go
+++ b/internal/frontend/platform/migrate_pieces_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
-	"net/textproto"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -57,16 +55,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			conn, client := newTCPPair(t)
-			upstream, server := newTCPPair(t)
-			c := frontend.newClientConn(conn)
-			c.call = b.engine.Accept(c, core.ConnTraits{})
-			frontend.descriptors <- struct{}{}
-			up := &upstreamConn{conn: upstream, text: textproto.NewConn(upstream), cancel: func() {}}
-			c.upstream, c.established = up, true
-			server.send("re he")
-			up.text.R.Peek(len("re he")) // The beginning is buffered, but the relay has not read it yet.
-			c.execute(context.Background(), migrateCommand{})
+			c, client, server := newInterruptedRelay(t, frontend, "re he")
+			up := c.upstream
 			relayEnded := make(chan struct{})
 			frontend.readers.Go(func() { c.relayToClient(up); close(relayEnded) })
 			go sendPieces(server.conn, test.interval, test.pieces...)
@@ -77,7 +67,7 @@
 				}
 			case <-relayEnded:
 				t.Error("the relay ended without an event")
-				conn.Close()
+				c.conn.Close()
 			}
 			client.wantLinesBeforeMove(line, test.complete)
 		})
--- a/internal/frontend/platform/relay_test.go
+++ b/internal/frontend/platform/relay_test.go
@@ -123,6 +123,23 @@
 	}
 }
 
+// newInterruptedRelay returns an established connection whose server has sent buffered, which the relay has not read
+// yet, and executes a migrate command on it. The caller starts the relay.
+func newInterruptedRelay(t *testing.T, f *Frontend, buffered string) (c *clientConn, client, server *testClient) {
+	t.Helper()
+	conn, client := newTCPPair(t)
+	upstream, server := newTCPPair(t)
+	c = f.newClientConn(conn)
+	c.call = f.engine.Accept(c, core.ConnTraits{})
+	f.descriptors <- struct{}{} // The dial's descriptor, which the close releases.
+	c.upstream = &upstreamConn{conn: upstream, text: textproto.NewConn(upstream), cancel: func() {}}
+	c.established = true
+	server.send(buffered)
+	c.upstream.text.R.Peek(len(buffered))
+	c.execute(t.Context(), migrateCommand{})
+	return c, client, server
+}
+
 // If a line was read in part when a migration starts, the complete line is relayed before MOVE. After the room
 // server's own BYE or MOVE, no further MOVE follows. All writes have to end within migrateWriteTimeout, so this test
 // may fail if a goroutine is delayed by more than half a second.
@@ -138,17 +155,9 @@
 		"server says MOVE":           {"MOVE\r\n", "", "MOVE\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			conn, client := newTCPPair(t)
-			upstream, server := newTCPPair(t)
-			c := frontend.newClientConn(conn)
-			c.call = b.engine.Accept(c, core.ConnTraits{})
-			frontend.descriptors <- struct{}{}
-			up := &upstreamConn{conn: upstream, text: textproto.NewConn(upstream), cancel: func() {}}
-			c.upstream, c.established = up, true
-			server.send(lines.before)
-			up.text.R.Peek(len(lines.before)) // The line is buffered, but not relayed yet.
-			c.execute(context.Background(), migrateCommand{})
+			c, client, server := newInterruptedRelay(t, frontend, lines.before)
 			server.send(lines.after)
+			up := c.upstream
 			frontend.readers.Go(func() { c.relayToClient(up) })
 			if !c.handle(<-c.events) {
 				t.Error("the actor ended before its client did")
--- a/internal/frontend/quic/frontend.go
+++ b/internal/frontend/quic/frontend.go
@@ -86,8 +86,8 @@
 	peers []*peer
 	// reading says whether client datagrams are read from the socket. The router's goroutine owns it.
 	reading bool
-	// requestsHeld says that the first packets of clients are dropped. The router's goroutine owns it.
-	requestsHeld bool
+	// requestsSuspended says that the first packets of clients are dropped. The router's goroutine owns it.
+	requestsSuspended bool
 	// pauseWaiters are closed when no peer reads client datagrams. The router's goroutine owns it.
 	pauseWaiters []chan struct{}
 }
--- a/internal/frontend/quic/handover.go
+++ b/internal/frontend/quic/handover.go
@@ -262,20 +262,20 @@
 	}
 }
 
-// HoldRequests drops the first packets of clients until previousExited is closed, but for Config.Timeout at most. It is
-// for a previous process of a version that does not describe its flows: any first packet may repeat a request that is
-// pending there, which ends within that time. It may be called from any goroutine, but not before Serve.
-func (f *Frontend) HoldRequests(previousExited <-chan struct{}) {
+// SuspendRequests drops the first packets of clients until previousExited is closed, but for Config.Timeout at most. It
+// is for a previous process of a version that does not describe its flows: any first packet may repeat a request that
+// is pending there, which ends within that time. It may be called from any goroutine, but not before Serve.
+func (f *Frontend) SuspendRequests(previousExited <-chan struct{}) {
 	f.log.Warn("quic: the previous process does not describe its flows, new requests wait for its end")
 	f.runInRouter(func() {
-		f.requestsHeld = true
+		f.requestsSuspended = true
 		f.goroutines.Go(func() {
 			select {
 			case <-previousExited:
 			case <-time.After(f.cfg.Timeout):
 			case <-f.routerDone:
 			}
-			f.runInRouter(func() { f.requestsHeld = false })
+			f.runInRouter(func() { f.requestsSuspended = false })
 		})
 	})
 }
--- a/internal/frontend/quic/handover_test.go
+++ b/internal/frontend/quic/handover_test.go
@@ -114,6 +114,22 @@
 	return c
 }
 
+// wantAnswer fails the test unless the established connection of a client answers a text.
+func (h *handOver) wantAnswer(c *fakeClient) {
+	h.t.Helper()
+	if response, err := c.call("hello"); err != nil || !strings.HasSuffix(response, " hello") {
+		h.t.Errorf("response %q, %v", response, err)
+	}
+}
+
+// repeatInitial repeats a client's first packet and waits until it reaches a room server.
+func (h *handOver) repeatInitial(c *fakeClient) {
+	h.t.Helper()
+	before := h.initials(c)
+	c.conn.Write(c.initial)
+	eventually(h.t, "the repeated packet arrives", func() bool { return h.initials(c) != before })
+}
+
 // attempts returns the number of attempts that a process has made.
 func attempts(b *testBalancer) uint64 { return b.engine.CurrentSnapshot(time.Second).Attempts }
 
@@ -159,19 +175,15 @@
 			previous, replacement := h.replace()
 			h.serve(previous, replacement)
 			for _, c := range clients {
-				before := h.initials(c)
-				c.conn.Write(c.initial)
-				eventually(t, "the repeated packet arrives", func() bool { return h.initials(c) != before })
+				h.repeatInitial(c)
 			}
 			if n := attempts(replacement); n != 0 {
 				t.Errorf("the replacement made %d attempts for requests of the previous process", n)
 			}
 			h.setMode(accepts)
-			for i, c := range clients {
+			for _, c := range clients {
 				c.mustOpen()
-				if response, err := c.call("hello"); err != nil || !strings.HasSuffix(response, " hello") {
-					t.Errorf("client %d: %q, %v", i, response, err)
-				}
+				h.wantAnswer(c)
 				if idempotency == decide.NotIdempotent {
 					h.wantOneServer(c)
 				}
@@ -206,9 +218,7 @@
 		if i%2 == 0 { // The server's first answer was lost.
 			c.mustOpen()
 		}
-		if response, err := c.call("hello"); err != nil || !strings.HasSuffix(response, " hello") {
-			t.Errorf("client %d: %q, %v", i, response, err)
-		}
+		h.wantAnswer(c)
 		h.wantOneServer(c)
 	}
 	first, _, _ := h.servers[0].counts()
@@ -341,9 +351,7 @@
 	_, third := h.replace()
 	h.serve(second, third)
 	for _, c := range []*fakeClient{early, late} {
-		before := h.initials(c)
-		c.conn.Write(c.initial)
-		eventually(t, "the repeated packet arrives", func() bool { return h.initials(c) != before })
+		h.repeatInitial(c)
 		h.wantOneServer(c)
 	}
 	h.setMode(accepts)
@@ -351,10 +359,8 @@
 	late.mustOpen()
 	for _, stop := range []func(){func() {}, first.stop, second.stop} {
 		stop()
-		for i, c := range []*fakeClient{early, late} {
-			if response, err := c.call("hello"); err != nil || !strings.HasSuffix(response, " hello") {
-				t.Errorf("client %d: %q, %v", i, response, err)
-			}
+		for _, c := range []*fakeClient{early, late} {
+			h.wantAnswer(c)
 			h.wantOneServer(c)
 		}
 	}
@@ -362,7 +368,7 @@
 
 // Beside a previous process of a version that does not describe its flows, the replacement begins no request, since
 // each first packet may repeat one that is pending there. It begins requests after the end of that process.
-func TestRequestsAreHeldBesideUndescribedFlows(t *testing.T) {
+func TestRequestsAreSuspendedBesideUndescribedFlows(t *testing.T) {
 	t.Parallel()
 	h := newHandOver(t, decide.NotIdempotent, ignores)
 	pending := h.newPendingClient()
@@ -371,7 +377,7 @@
 	shared.SetReadDeadline(time.Unix(1, 0))
 	replacement := h.start(shared)
 	exited := make(chan struct{})
-	replacement.frontend.HoldRequests(exited)
+	replacement.frontend.SuspendRequests(exited)
 	previous.pause.Pause()
 	replacement.pause.Resume()
 	h.setMode(accepts)
--- a/internal/frontend/quic/router.go
+++ b/internal/frontend/quic/router.go
@@ -77,9 +77,9 @@
 }
 
 // beginFlow handles a client's first Initial packet, which is a request. It drops other packets, and requests while
-// they are held.
+// they are suspended.
 func (f *Frontend) beginFlow(ctx context.Context, d datagram, p packet) {
-	if f.requestsHeld || !f.isRequest(d, p) {
+	if f.requestsSuspended || !f.isRequest(d, p) {
 		return
 	}
 	if f.flows.count >= f.cfg.MaxFlows {
--- a/internal/operations/hotrestart/link.go
+++ b/internal/operations/hotrestart/link.go
@@ -21,8 +21,8 @@
 // several goroutines. There is at most one link. OfferLink must be called before Serve.
 func (s *Server) OfferLink(name string, accept func(*net.UnixConn)) { s.link = &link{name, accept} }
 
-// TakeLink returns this process's end of the link that the previous process has passed, or nil if there is none.
-func (s *Sockets) TakeLink(name string) (*net.UnixConn, error) {
+// AcceptLink returns this process's end of the link that the previous process has passed, or nil if there is none.
+func (s *Sockets) AcceptLink(name string) (*net.UnixConn, error) {
 	file := s.inherited[name]
 	if file == nil {
 		return nil, nil
--- a/internal/operations/hotrestart/link_test.go
+++ b/internal/operations/hotrestart/link_test.go
@@ -49,7 +49,7 @@
 	accepted := startLinkServer(t, path)
 	for range 2 {
 		sockets, _ := receiveSockets(t, path)
-		other, err := sockets.TakeLink("flows")
+		other, err := sockets.AcceptLink("flows")
 		if err != nil || other == nil {
 			t.Fatalf("link %v, %v", other, err)
 		}
@@ -66,7 +66,7 @@
 		if _, err := own.Read(buffer); err != io.EOF {
 			t.Errorf("read ended with %v, want EOF", err)
 		}
-		if again, err := sockets.TakeLink("flows"); again != nil || err != nil {
+		if again, err := sockets.AcceptLink("flows"); again != nil || err != nil {
 			t.Errorf("the link was taken twice: %v, %v", again, err)
 		}
 	}
@@ -90,7 +90,7 @@
 	path = SocketPath(t.TempDir(), "x")
 	startServer(t, path, "127.0.0.1:0")
 	sockets, _ = receiveSockets(t, path)
-	if conn, err := sockets.TakeLink("flows"); conn != nil || err != nil {
+	if conn, err := sockets.AcceptLink("flows"); conn != nil || err != nil {
 		t.Errorf("link %v, %v, want none", conn, err)
 	}
 }
