--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x bin/cottonplank ] && [ -x bin/standin2 ] || exit 2
-RECORD="$folder/record.txt" exec bin/standin2 first-id
+RECORD="$folder/record.txt" exec bin/standin2 resting
--- a/review/standin2/cases_quic.go
+++ b/review/standin2/cases_quic.go
@@ -186,34 +186,3 @@
 		return 0
 	}), nil
 }
-
-// playFirstID plays clients whose first connection id, which is random, begins like those of room servers.
-func playFirstID(s *stage) (int, error) {
-	d, err := newDeployment(s, armorSettings("rennes"), 4, "s-5be2a07c", "s-11d3907e", "s-c4f0a2b1", "s-90aa73d5")
-	if err != nil {
-		return 0, err
-	}
-	const giveUp = 1200 * time.Millisecond
-	const latest = giveUp + 50*time.Millisecond + 500*time.Millisecond // later than this an answer counts as none
-	violations := 0
-	for n := range 40 {
-		c, err := newQUICClient(s, fmt.Sprintf("c%d", n+1), d.balancer.quicListen, uint64(n+1))
-		if err != nil {
-			return 0, err
-		}
-		id := c.randomID(idLength)
-		for alike := s.trouble && n%2 == 0; (id[0] == idStart) != alike; {
-			id = c.randomID(idLength)
-		}
-		answer := c.open(id, latest)
-		if answer == gotNothing {
-			s.record.add("client %s: LOST: no answer within %v", c.name, latest)
-			violations++
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	if !d.balancer.alive() {
-		return violations, errEnded
-	}
-	return violations, nil
-}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,7 +28,7 @@
 	"flow-table": playFlowTable,
 	"restart-id": playRestartID,
 	"drain-id":   playDrainID,
-	"first-id":   playFirstID,
+	"resting":    playResting,
 }
 
 func main() {
--- a/review/standin2/quicroom.go
+++ b/review/standin2/quicroom.go
@@ -192,7 +192,7 @@
 	return id
 }
 
-// serveLines answers the probes of the line protocol.
+// serveLines serves the line protocol: probes, and connections whose lines come back.
 func (r *roomServer) serveLines(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
@@ -226,6 +226,11 @@
 			answer = "PONG"
 		case len(words) == 1 && words[0] == "STATS":
 			answer = "PONG qps=1,inflight=4,x0=0.20"
+		case len(words) == 4 && words[0] == "OPEN":
+			r.stage.record.add("room server %s: runs %s", r.name, words[1])
+			answer = "UP " + words[1]
+		case len(words) > 0 && words[0] == "SAY":
+			answer = strings.TrimSpace(line)
 		}
 		if _, err := conn.Write([]byte(answer + "\r\n")); err != nil {
 			return
