Answer requests that have arrived when a planned stop ends

What callers saw: a client whose request is read, or lies in the kernel, at the moment in which a planned stop is over got the end of its connection and no answer.

Cause: the context of all parts ended at once. A connection's goroutine closed on it, whatever had arrived, and the engine, which rejects what comes late, ended beside it. Ruled out that the engine's end alone is to blame: with the engine running, each of the five forced places lost its request. A line with at= that came after the last step of a drain was never answered.

RestoreConnection fails at once after the last step of a drain, unless the next process takes the connection up.

TestArrivedRequestIsAnsweredAtStop fails in each of its places without the wait. The stop, restart and hand-over tests of cmd/cottonplank pass.

--- a/cmd/cottonplank/daemon.go
+++ b/cmd/cottonplank/daemon.go
@@ -63,6 +63,9 @@
 
 	// setDiscoveryAddress applies the discovery address of a reloaded configuration.
 	setDiscoveryAddress func(address string)
+	// stopFrontend ends the context of frontend, and frontendEnded is closed when it has ended.
+	stopFrontend  context.CancelFunc
+	frontendEnded chan struct{}
 	// running tracks the goroutines that shutdown waits for.
 	running sync.WaitGroup
 }
@@ -134,7 +137,7 @@
 	d.restart = newRestartCoordinator(d) // pauses the sockets, if there is a previous process, before they are read
 	d.startDatagramServers(ctx)
 	d.startHotRestart(ctx)
-	d.running.Go(func() { d.frontend.Serve(ctx, d.clientListener, d.clientPauser) })
+	d.startFrontend(ctx)
 	d.startManagement(ctx)
 	d.startCluster(ctx)
 	d.startReloader(ctx, hangup)
--- a/cmd/cottonplank/frontends.go
+++ b/cmd/cottonplank/frontends.go
@@ -41,6 +41,17 @@
 	d.frontend.EnableSessions(d.sessions)
 }
 
+// startFrontend starts the frontend of the platform's line protocol, which runs until ctx ends or stopFrontend is
+// called.
+func (d *daemon) startFrontend(ctx context.Context) {
+	ctx, d.stopFrontend = context.WithCancel(ctx)
+	d.frontendEnded = make(chan struct{})
+	d.running.Go(func() {
+		defer close(d.frontendEnded)
+		d.frontend.Serve(ctx, d.clientListener, d.clientPauser)
+	})
+}
+
 func newQUICFrontend(cfg *config.Config, settings config.QUIC, conn *net.UDPConn, engine *core.Engine,
 	log *logrus.Logger) (*quic.Frontend, error) {
 	ids, err := quic.NewIDFormat(settings.ConfigID, settings.NonceLength, settings.IDKey)
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -30,8 +30,8 @@
 	// migrateAll says that migrateForDrain was called for all established connections, and that it is called for
 	// further ones as soon as they are established.
 	migrateAll bool
-	// rejectNew says that new requests are rejected immediately. Known fault: those of RestoreConnection are not, and
-	// a planned stop may end before they are answered.
+	// rejectNew says that new requests are answered immediately: those of RestoreConnection fail, others are rejected.
+	// Connections to be restored that are resumable are left to the next process.
 	rejectNew bool
 	// minimumElapsed says that drainMinDuration is over.
 	minimumElapsed bool
@@ -203,6 +203,7 @@
 func (e *Engine) finishDrain() {
 	if !e.drain.closed {
 		e.drain.closed = true
+		e.rejectAll() // a request may still arrive before the frontends have ended
 		close(e.drain.done)
 	}
 }
--- a/internal/core/restore.go
+++ b/internal/core/restore.go
@@ -31,6 +31,10 @@
 			return
 		}
 		c.restore = restoreState{active: true, server: server, deadline: e.now + patience}
+		if e.rejectsNewRequests() && !c.traits.Resumable {
+			c.answerNow()
+			return
+		}
 		c.tryRestore()
 	})
 }
--- a/internal/frontend/platform/client_conn.go
+++ b/internal/frontend/platform/client_conn.go
@@ -76,6 +76,14 @@
 // restoreTimeout is how long the balancer tries to restore a connection that was open before the balancer's restart.
 const restoreTimeout = 40 * time.Second
 
+// Times of a connection after the frontend's context has ended.
+const (
+	// finishTimeout limits the wait for the final answer. The process must exit soon after.
+	finishTimeout = 80 * time.Millisecond
+	// finishInterruptInterval is the interval at which readClient is interrupted.
+	finishInterruptInterval = 5 * time.Millisecond
+)
+
 // expiredDeadline is a deadline in the past: setting it interrupts pending reads and writes of a connection.
 var expiredDeadline = time.Unix(1, 0)
 
@@ -132,7 +140,8 @@
 	}
 }
 
-// run executes commands and handles events until one of them ends the connection or ctx ends. Before it returns, it
+// run executes commands and handles events until one of them ends the connection or ctx ends. When ctx ends, a request
+// that has arrived still gets its final answer (finish). Before run returns, it
 // closes the connections to the client and to room servers, and reports the end to the engine. If a call to the state
 // holder is pending, it interrupts the call, whose goroutine then closes that connection.
 func (c *clientConn) run(ctx context.Context) {
@@ -147,6 +156,7 @@
 		var keepRunning bool
 		select {
 		case <-ctx.Done():
+			c.finish(ctx)
 			return
 		case cmd := <-c.commands:
 			keepRunning = c.execute(ctx, cmd)
@@ -159,6 +169,44 @@
 	}
 }
 
+// finish is the end of run when the frontend stops. It returns once nothing can be lost by closing the client
+// connection: no request has arrived, or the engine has answered it, or the connection is established. A request that
+// the engine does not answer within finishTimeout is dropped, as is a line that is not complete by then.
+func (c *clientConn) finish(ctx context.Context) {
+	timeout := time.After(finishTimeout)
+	interrupt := time.NewTicker(finishInterruptInterval)
+	defer interrupt.Stop()
+	for !c.established && !c.answered() {
+		// It is repeated, because readClient clears the deadline whenever more has arrived.
+		if !c.requestSubmitted {
+			c.interruptReader()
+		}
+		keepRunning := true
+		select {
+		case <-timeout:
+			return
+		case <-interrupt.C:
+		case cmd := <-c.commands:
+			keepRunning = c.execute(ctx, cmd)
+		case e := <-c.events:
+			keepRunning = c.handle(e)
+		}
+		if !keepRunning {
+			return
+		}
+	}
+}
+
+// answered reports whether a final answer has been written to the client.
+func (c *clientConn) answered() bool {
+	select {
+	case <-c.finalAnswerSent:
+		return true
+	default:
+		return false
+	}
+}
+
 // execute carries out a command; it returns false if the actor has to end.
 func (c *clientConn) execute(ctx context.Context, cmd command) bool { return cmd.execute(ctx, c) }
 
--- a/internal/frontend/platform/frontend.go
+++ b/internal/frontend/platform/frontend.go
@@ -114,7 +114,9 @@
 }
 
 // Serve accepts clients until ctx ends or the listener is closed, then waits until all goroutines of the frontend have
-// ended. While pause is active, no client is accepted; connections that were accepted before are still served.
+// ended. When ctx ends, requests that have arrived get their final answers, within finishTimeout, so the engine has to
+// run until Serve returns. While pause is active, no client is accepted; connections that were accepted before are
+// still served.
 func (f *Frontend) Serve(ctx context.Context, listener *net.TCPListener, pause *hotrestart.Pauser) {
 	f.actors.Go(func() { f.runReserve(ctx) })
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
