Retry a QUIC request after a closed port only if no datagram was delivered

Cause: before a connection is established, each error of the socket to the room server ended the attempt as ConnectFailed, which proves that the request never ran. UDP reports a closed port for a later datagram only; the first one had arrived. Ruled out by a probe: a time-out with such a code, and a second request for the repeated packet. It was one flow, whose attempt 0 ended by "connection refused" after two datagrams.

Change: datagrams written and ICMP errors received are counted; only if every datagram was refused has the attempt failed to connect, else it was reset. On the same paths: an error that a write reports is no longer lost; an attempt to which nothing could be written never ran; a port or connection closed between the acceptance and Establish no longer leaves the client without an answer.

With the old outcome planted, TestPortClosesAfterFirstDatagram and TestFailureCode fail.

--- a/internal/frontend/quic/flow_attempt.go
+++ b/internal/frontend/quic/flow_attempt.go
@@ -17,9 +17,25 @@
 	server decide.ServerID
 	// conn is connected to the server's address, so that it returns an error if the server's port is closed.
 	conn *net.UDPConn
+	// sent is the number of datagrams that were written to conn.
+	sent int
+	// undelivered is how many of them were reported as not delivered.
+	undelivered int
+	// failed says that the room server's port was reported as closed. Nothing more is sent to it.
+	failed bool
 }
 
-// serverDatagram is a datagram from a room server, or the error that has ended the reading from its socket.
+// failureCode returns the outcome of an attempt whose room server's port is closed, or to which nothing could be
+// written. UDP reports the closed port only for a later datagram, so the room server may have received the earlier ones
+// and executed the request, unless every one of them was reported as not delivered.
+func (up *upstream) failureCode() decide.Code {
+	if up.undelivered >= up.sent {
+		return decide.ConnectFailed
+	}
+	return decide.Reset
+}
+
+// serverDatagram is a datagram from a room server, or an error of its socket.
 type serverDatagram struct {
 	// upstream is the socket that has received the datagram. It may belong to an attempt that has ended.
 	upstream *upstream
@@ -47,6 +63,9 @@
 		engine.AttemptEnded(fl.call, attempt.Number, decide.ConnectFailed, decide.NoLoadReport)
 		return
 	}
+	if err := keepErrors(conn); err != nil {
+		fl.frontend.log.WithError(err).Warn("quic: cannot read the errors of a socket to a room server one by one")
+	}
 	up := &upstream{attempt: attempt.Number, server: attempt.Upstream.ID, conn: conn}
 	fl.upstream = up
 	fl.frontend.goroutines.Go(func() { fl.readServer(up) })
@@ -72,8 +91,8 @@
 	return net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(addrPort))
 }
 
-// readServer passes a room server's datagrams to run, until reading from the socket fails or the socket is closed. It
-// runs in its own goroutine.
+// readServer passes a room server's datagrams and the socket's errors to run, until reading fails for another reason
+// than an ICMP error, or the socket is closed. It runs in its own goroutine.
 func (fl *flow) readServer(up *upstream) {
 	buffer := make([]byte, maxDatagramSize)
 	for {
@@ -87,7 +106,7 @@
 		case <-fl.done:
 			return
 		}
-		if err != nil {
+		if err != nil && !isPortClosed(err) && !isPathError(err) {
 			return
 		}
 	}
@@ -102,11 +121,19 @@
 	}
 }
 
-// sendToServer sends a datagram to the room server of the current attempt, if there is one. Errors are ignored: if
-// the server's port is closed, readServer gets an error too.
+// sendToServer sends a datagram to the room server of the current attempt, if there is one. If an earlier datagram has
+// found the server's port closed, the kernel may report that here in place of readServer, and does not send this one.
+// Other errors are ignored: clients repeat their datagrams.
 func (fl *flow) sendToServer(raw []byte) {
-	if fl.upstream != nil {
-		fl.upstream.conn.Write(raw)
+	up := fl.upstream
+	if up == nil || up.failed {
+		return
+	}
+	switch _, err := up.conn.Write(raw); {
+	case err == nil:
+		up.sent++
+	case isPortClosed(err):
+		fl.serverPortClosed()
 	}
 }
 
@@ -116,8 +143,9 @@
 	if fl.upstream == nil || fl.upstream.attempt != n {
 		return
 	}
+	up := fl.upstream
 	fl.established = true
-	server := fl.upstream.server
+	server := up.server
 	fl.frontend.runInRouter(func() {
 		fl.server = server
 		fl.frontend.announceFlow(fl)
@@ -127,21 +155,35 @@
 			fl.sendToServer(raw)
 		}
 	}
+	closed := false
 	for _, raw := range fl.pending {
 		if p, err := parsePacket(raw, len(fl.clientID)); err == nil {
 			fl.addServerSourceID(p)
+			closed = closed || fl.decryptClose(serverInitialLabel, raw, p) != nil
 		}
 		fl.frontend.send(raw, fl.clientAddress)
 	}
 	fl.retained, fl.pending = nil, nil
+	switch {
+	case fl.ended: // the datagrams found the port closed
+	case closed:
+		fl.endConnection(decide.Reset)
+	case up.failed:
+		fl.serverPortClosed()
+	}
 }
 
 // cancelAttempt ends attempt n with the code that is passed as why, unless the room server has accepted the attempt. It
-// does not end the attempt either if the code is one for attempts that were never executed. Such a code would be wrong:
-// UDP has no handshake, so the client's datagrams were sent when the attempt began, and the room server may have
-// executed the attempt.
+// does not end the attempt either if the code is one for attempts that were never executed, and a datagram was sent.
+// Such a code would be wrong: UDP has no handshake, so the room server may have executed the attempt. If nothing could
+// be sent, the attempt was never executed, whatever the code.
 func (fl *flow) cancelAttempt(n int, why decide.Code) {
-	if fl.upstream != nil && fl.upstream.attempt == n && !fl.accepted && !why.NeverExecuted() {
+	up := fl.upstream
+	switch {
+	case up == nil || up.attempt != n || fl.accepted:
+	case up.sent == 0:
+		fl.endAttempt(decide.ConnectFailed)
+	case !why.NeverExecuted():
 		fl.endAttempt(why)
 	}
 }
--- a/internal/frontend/quic/flow_datagrams.go
+++ b/internal/frontend/quic/flow_datagrams.go
@@ -14,6 +14,9 @@
 	// this time starts the engine's timeout for a response. A single datagram does not, since it may be an
 	// acknowledgement, which needs no response.
 	responseDelay = 300 * time.Millisecond
+	// undeliveredWait is how long an attempt whose room server's port was reported as closed waits for the reports on
+	// its other datagrams.
+	undeliveredWait = 50 * time.Millisecond
 	// trafficReportsPerIdle is the maximum number of reports of traffic to the engine within Config.Idle.
 	trafficReportsPerIdle = 8
 )
@@ -92,7 +95,7 @@
 	switch {
 	case fl.established:
 		fl.forwardToClient(d.raw, p, closed != nil)
-	case closed != nil:
+	case closed != nil && !fl.accepted:
 		fl.serverRejected(closed)
 	case !fl.restored && !fl.isResponseToInitial(p):
 		return // a packet with a short header, of another version, or with another connection ID
@@ -144,15 +147,38 @@
 // handleServerError handles an error of the socket to a room server, such as ECONNREFUSED after an ICMP message that
 // the port is closed.
 func (fl *flow) handleServerError(err error) {
-	if errors.Is(err, net.ErrClosed) {
+	if errors.Is(err, net.ErrClosed) || isPathError(err) {
 		return
 	}
-	if !fl.established {
-		fl.endAttempt(decide.ConnectFailed)
-		return
+	fl.serverPortClosed()
+}
+
+// serverPortClosed ends an established connection, or an attempt, whose room server's port was reported as closed. If
+// a request was sent in several datagrams, the reports on the others may still be on their way: an attempt ends at once
+// if all were reported as not delivered, otherwise after undeliveredWait.
+func (fl *flow) serverPortClosed() {
+	up := fl.upstream
+	up.undelivered += countUndelivered(up.conn)
+	switch {
+	case fl.established:
+		fl.resetClient()
+		fl.endConnection(decide.Reset)
+	case fl.accepted:
+		up.failed = true // establish, which follows, ends the connection
+	case up.failureCode().NeverExecuted():
+		fl.endAttempt(up.failureCode())
+	case !up.failed:
+		up.failed = true
+		time.AfterFunc(undeliveredWait, func() { fl.post(func() { fl.endFailedAttempt(up) }) })
+	}
+}
+
+// endFailedAttempt ends an attempt undeliveredWait after the room server's port was reported as closed.
+func (fl *flow) endFailedAttempt(up *upstream) {
+	if fl.upstream == up && !fl.accepted {
+		up.undelivered += countUndelivered(up.conn)
+		fl.endAttempt(up.failureCode())
 	}
-	fl.resetClient()
-	fl.endConnection(decide.Reset)
 }
 
 // addServerSourceID adds the source connection ID of a room server's packet to the flow table. It must be called
