Limit what one source address costs the QUIC front, so that others are served

What callers saw: beside one socket that sends Initials of ever new ids at full speed, in 6 s, established QUIC clients got 44 answers in place of 600, new ones 1 of 6, and clients of the line protocol 30 of 32, late. Beside short headers that name unknown room servers it was 10 answers and 2 of 7.

Cause: each such packet was copied, routed, decrypted, and answered by a rejection that was encrypted before the limit of replies dropped it. The front fell behind and the kernel dropped what came, whoever sent it. Ruled out by plays: the reading alone (as many cheap datagrams left 506 to 600 answers) and a full table (packets that leave no flow did the same).

Change: per source address and second, 64 datagrams with long headers, checked before the copy, and 16 with ids that have no flow at any process, checked before anything costly.

--- a/internal/frontend/quic/frontend.go
+++ b/internal/frontend/quic/frontend.go
@@ -30,6 +30,12 @@
 	// spoofed, so that an attacker cannot make the balancer send a large number of datagrams to others. The first final
 	// answer of a flow and the CONNECTION_CLOSE of resetClient are not limited.
 	maxRepliesPerSecond = 100
+	// maxLongHeadersPerSecond limits the datagrams with long headers of one source address. A client sends a few for each
+	// handshake, and repeats them at intervals that grow.
+	maxLongHeadersPerSecond = 64
+	// maxUnknownIDsPerSecond limits the datagrams of one source address whose connection IDs have no flow. Each of them
+	// may begin a flow.
+	maxUnknownIDsPerSecond = 16
 	// readBufferBytes is the size of the receive buffer of the socket for client datagrams.
 	readBufferBytes = 1 << 20
 )
@@ -70,6 +76,10 @@
 	watchdog core.Watchdog
 	// replyLimit enforces maxRepliesPerSecond.
 	replyLimit *rate.Limiter
+	// longHeaderLimit enforces maxLongHeadersPerSecond. The goroutine of readDatagrams owns it.
+	longHeaderLimit *sourceLimiter
+	// unknownIDLimit enforces maxUnknownIDsPerSecond. The router's goroutine owns it.
+	unknownIDLimit *sourceLimiter
 	// goroutines counts the running goroutines: flow.run, flow.readServer, readDatagrams and watchPeer.
 	goroutines sync.WaitGroup
 
@@ -109,17 +119,19 @@
 		log.WithError(err).Warn("quic: cannot set the size of the read buffer")
 	}
 	return &Frontend{
-		cfg:         cfg,
-		engine:      engine,
-		log:         log,
-		conn:        cfg.Conn,
-		replyLimit:  rate.NewLimiter(maxRepliesPerSecond, maxRepliesPerSecond),
-		datagrams:   make(chan datagram, routerBacklog),
-		routerTasks: make(chan func()),
-		routerDone:  make(chan struct{}),
-		flows:       newFlowTable(),
-		remote:      newRemoteFlows(),
-		reading:     true,
+		cfg:             cfg,
+		engine:          engine,
+		log:             log,
+		conn:            cfg.Conn,
+		replyLimit:      rate.NewLimiter(maxRepliesPerSecond, maxRepliesPerSecond),
+		longHeaderLimit: newSourceLimiter(maxLongHeadersPerSecond),
+		unknownIDLimit:  newSourceLimiter(maxUnknownIDsPerSecond),
+		datagrams:       make(chan datagram, routerBacklog),
+		routerTasks:     make(chan func()),
+		routerDone:      make(chan struct{}),
+		flows:           newFlowTable(),
+		remote:          newRemoteFlows(),
+		reading:         true,
 	}
 }
 
@@ -163,6 +175,9 @@
 			f.waitWhilePaused(ctx, pause, err)
 			continue
 		}
+		if isLongHeader(buffer[:n]) && !f.longHeaderLimit.allow(from, time.Now()) {
+			continue
+		}
 		select {
 		case f.datagrams <- datagram{from, clone(buffer[:n])}:
 		case <-ctx.Done():
--- a/internal/frontend/quic/packet.go
+++ b/internal/frontend/quic/packet.go
@@ -51,6 +51,9 @@
 	end int
 }
 
+// isLongHeader reports whether a datagram begins with a long header.
+func isLongHeader(raw []byte) bool { return len(raw) > 0 && raw[0]&longHeader != 0 }
+
 // isInitial reports whether the packet is an Initial packet of version 1.
 func (p *packet) isInitial() bool {
 	return p.long && p.version == version1 && p.packetType == packetTypeInitial
--- a/internal/frontend/quic/router.go
+++ b/internal/frontend/quic/router.go
@@ -32,6 +32,9 @@
 	if remote := f.findRemote(ctx, p.destinationID); remote != nil && f.routeRemote(ctx, d, p, remote) {
 		return
 	}
+	if !f.unknownIDLimit.allow(d.from, time.Now()) {
+		return
+	}
 	if p.long && p.version != version1 {
 		f.negotiateVersion(d, p)
 		return
@@ -98,10 +101,13 @@
 
 // rejectWithoutFlow rejects a request because Config.MaxFlows is reached.
 func (f *Frontend) rejectWithoutFlow(d datagram, p packet) {
+	if !f.replyLimit.Allow() {
+		return
+	}
 	reason := retryAfterReason(overloadRetryAfter)
 	raw, err := newClosePacket(p.destinationID, p.sourceID, p.destinationID, connectionRefused, reason)
 	if err == nil {
-		f.sendReply(raw, d.from)
+		f.send(raw, d.from)
 	}
 }
 
