Drop QUIC datagrams above 2 KB, which fill the memory while they wait

What was seen: 240 clients with first packets of 60 KB took the process to 123 and 115 MB, 200 established ones that send 60 KB at full speed to 139 MB (memory_mb 192, the runtime's own limit 134); new clients were refused or waited 2 s. Nothing was killed here.

Cause: queues are counted in datagrams, and a datagram could have 64 KB, so 256 flows could hold over 1 GB; each socket to a room server had a buffer of 64 KB. Ruled out that their number is to blame: with 2 KB and the same number the plays took 19 and 22 MB.

Change: datagrams above 2,048 bytes are dropped in both directions, as a path with a smaller limit does.

TestLargeDatagramsAreDropped fails with the former size.

--- a/internal/frontend/quic/attempt_test.go
+++ b/internal/frontend/quic/attempt_test.go
@@ -120,3 +120,33 @@
 	eventually(t, "the connection is open", func() bool { return b.engine.Snapshot().Clients == 1 })
 	eventually(t, "the connection is closed", func() bool { return b.engine.Snapshot().Clients == 0 })
 }
+
+// Guards against a process that passes its memory limit because hundreds of clients, or their room servers, send
+// datagrams of 60 KB, which wait in queues: larger ones than maxDatagramSize are dropped in both directions, those of
+// that size are forwarded.
+func TestLargeDatagramsAreDropped(t *testing.T) {
+	t.Parallel()
+	ids := newTestFormat(t, testIDKey)
+	s := newFakeServer(t, "s-1", ids, accepts)
+	b := newTestBalancer(t, "127.0.0.1:0", ids, nil, s.endpoint(decide.Ready))
+	c := newFakeClient(t, b.frontend.Addr())
+	c.mustOpen()
+	fits := strings.Repeat("x", maxDatagramSize-100) // the fake server puts its name before the text
+	if response, err := c.call(fits); err != nil || response != "s-1 "+fits {
+		t.Fatalf("a datagram that fits: %.20q, %v", response, err)
+	}
+	for _, size := range []int{maxDatagramSize, 60000} {
+		raw := append(shortPacket(c.serverID, 1+len(c.serverID)), bytes.Repeat([]byte("x"), size)...)
+		if response, err := c.exchange(raw, 50*time.Millisecond, 200*time.Millisecond); err == nil {
+			t.Errorf("a datagram of %d bytes was answered with %d bytes", len(raw), len(response))
+		}
+	}
+	if largest, from := s.largestDatagram(); largest > maxDatagramSize {
+		t.Errorf("the room server received a datagram of %d bytes", largest)
+	} else if _, err := s.conn.WriteToUDPAddrPort(make([]byte, maxDatagramSize+1), from); err != nil {
+		t.Fatal(err)
+	}
+	if response, err := c.call("hello"); err != nil || response != "s-1 hello" {
+		t.Errorf("after a large datagram from the room server: %.20q, %v", response, err)
+	}
+}
--- a/internal/frontend/quic/fake_client_test.go
+++ b/internal/frontend/quic/fake_client_test.go
@@ -77,7 +77,7 @@
 // exchange sends a datagram and repeats it at the given interval until there is a response. It returns errNoResponse
 // after the timeout.
 func (c *fakeClient) exchange(raw []byte, interval, timeout time.Duration) ([]byte, error) {
-	buffer := make([]byte, 2048)
+	buffer := make([]byte, 65535)
 	for end := time.Now().Add(timeout); time.Now().Before(end); {
 		if _, err := c.conn.Write(raw); err != nil {
 			return nil, err
--- a/internal/frontend/quic/fake_server_test.go
+++ b/internal/frontend/quic/fake_server_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 
@@ -42,6 +43,9 @@
 	byIssuedID map[string]*fakeServerConn
 	// accepted is the number of accepted connections.
 	accepted int
+	// largest is the size of the largest datagram that has arrived, and lastSender the sender of the latest one.
+	largest    int
+	lastSender netip.AddrPort
 	// unknown is the number of short-header packets whose connection ID the server has not issued.
 	unknown int
 }
@@ -84,12 +88,15 @@
 }
 
 func (s *fakeServer) serve(t testing.TB) {
-	buffer := make([]byte, 2048)
+	buffer := make([]byte, 65535)
 	for {
 		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
+		s.mu.Lock()
+		s.largest, s.lastSender = max(s.largest, n), from
+		s.mu.Unlock()
 		if response := s.respond(t, clone(buffer[:n])); response != nil {
 			s.conn.WriteToUDPAddrPort(response, from)
 		}
@@ -171,6 +178,13 @@
 	s.mode = mode
 }
 
+// largestDatagram returns the size of the largest datagram that has arrived, and the sender of the latest one.
+func (s *fakeServer) largestDatagram() (size int, lastSender netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.largest, s.lastSender
+}
+
 // counts returns the numbers of accepted connections, of packets with unknown connection IDs, and of Initial packets.
 func (s *fakeServer) counts() (accepted, unknown, initials int) {
 	s.mu.Lock()
--- a/internal/frontend/quic/flow_attempt.go
+++ b/internal/frontend/quic/flow_attempt.go
@@ -94,9 +94,12 @@
 // readServer passes a room server's datagrams and the socket's errors to run, until reading fails for another reason
 // than an ICMP error, or the socket is closed. It runs in its own goroutine.
 func (fl *flow) readServer(up *upstream) {
-	buffer := make([]byte, maxDatagramSize)
+	buffer := make([]byte, maxDatagramSize+1) // a longer datagram fills it
 	for {
 		n, err := up.conn.Read(buffer)
+		if err == nil && n > maxDatagramSize {
+			continue
+		}
 		d := serverDatagram{upstream: up, err: err}
 		if err == nil {
 			d.raw = clone(buffer[:n])
--- a/internal/frontend/quic/frontend.go
+++ b/internal/frontend/quic/frontend.go
@@ -164,7 +164,7 @@
 
 // readDatagrams reads client datagrams until ctx ends.
 func (f *Frontend) readDatagrams(ctx context.Context, pause *hotrestart.Pauser) {
-	buffer := make([]byte, maxDatagramSize)
+	buffer := make([]byte, maxDatagramSize+1) // a longer datagram fills it
 	for {
 		n, from, err := f.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
@@ -175,6 +175,9 @@
 			f.waitWhilePaused(ctx, pause, err)
 			continue
 		}
+		if n > maxDatagramSize {
+			continue
+		}
 		if isLongHeader(buffer[:n]) && !f.longHeaderLimit.allow(from, time.Now()) {
 			continue
 		}
--- a/internal/frontend/quic/packet.go
+++ b/internal/frontend/quic/packet.go
@@ -13,8 +13,10 @@
 	// minOriginalIDLength is the minimum length of the destination connection ID in a client's first Initial packet
 	// (RFC 9000, section 7.2).
 	minOriginalIDLength = 8
-	// maxDatagramSize is the maximum size of a UDP datagram.
-	maxDatagramSize = 65535
+	// maxDatagramSize is the maximum size of a datagram that is forwarded. It is above what common networks carry.
+	// Endpoints probe for larger sizes before they use them, and go on without where a probe is lost (RFC 9000, section
+	// 14.3). The limit bounds the memory of the datagrams that wait in queues.
+	maxDatagramSize = 2048
 )
 
 // Bits of a packet's first octet.
