Tell the other process of an upgrade the ids of requests, so that none runs twice

What callers saw: an id that is in use at one process of an upgrade, or was when its client left, and comes again at the other was sent to a room server a second time. In one process it is answered ERR.

Cause: each process kept the ids for itself.

Change: the two processes are linked; each tells the ids that it holds and each further claim before the request begins, and looks for the other's claim after its own was told, so of two claims at one moment at most one succeeds. The new process accepts once it knows the old one's ids. hotrestart.Server offers any number of links.

--- a/cmd/cottonplank/daemon.go
+++ b/cmd/cottonplank/daemon.go
@@ -16,6 +16,7 @@
 	"cottonplank/internal/frontend/platform"
 	"cottonplank/internal/frontend/quic"
 	"cottonplank/internal/operations/hotrestart"
+	"cottonplank/internal/operations/requestid"
 	"cottonplank/internal/operations/sdnotify"
 	"cottonplank/internal/operations/snmp"
 	"cottonplank/internal/session/token"
@@ -42,6 +43,7 @@
 
 	// Subsystems.
 	monitor            *sdnotify.Monitor
+	requestIDs         *requestid.Registry
 	engine             *core.Engine
 	cluster            *gossip.Cluster // nil if no cluster membership is configured
 	clientListener     *net.TCPListener
@@ -50,6 +52,7 @@
 	quicFrontend       *quic.Frontend   // nil if QUIC is not configured
 	quicPauser         *hotrestart.Pauser
 	previousQUIC       *net.UnixConn // link to the QUIC frontend of the previous process; nil if there is none
+	previousIDs        *net.UnixConn // link to the request IDs of the previous process; nil if there is none
 	inheritedQUIC      bool          // the QUIC socket is that of the previous process, or was opened by a supervisor
 	snmpAgent          *snmp.Agent   // nil if SNMP is not configured
 	snmpPauser         *hotrestart.Pauser
@@ -102,6 +105,7 @@
 		return nil, err
 	}
 	d.inheritSockets()
+	d.requestIDs = requestid.New(d.log)
 	if err := d.newEngine(); err != nil {
 		return nil, err
 	}
@@ -134,6 +138,9 @@
 func (d *daemon) start(ctx context.Context, hangup <-chan os.Signal) {
 	d.running.Go(func() { d.discovery.Run(ctx) })
 	d.running.Go(func() { d.engine.Run(ctx, d.prober, d.discovery); d.prober.Wait() })
+	if d.previousIDs != nil {
+		d.requestIDs.AddPeer(ctx, d.previousIDs)
+	}
 	d.restart = newRestartCoordinator(d) // pauses the sockets, if there is a previous process, before they are read
 	d.startDatagramServers(ctx)
 	d.startHotRestart(ctx)
--- a/cmd/cottonplank/engine.go
+++ b/cmd/cottonplank/engine.go
@@ -30,6 +30,7 @@
 		AwaitFirstList: d.previous != nil,
 		ListPushed:     d.cfg.ListPushed,
 		StateTimeout:   sessionStateTimeout(d.fronts.Sessions),
+		RequestIDs:     d.requestIDs,
 		Watchdog:       d.monitor.AddTask(engineTask),
 		Learned:        decodeLearned(d.previous, core.DeploymentID(d.cfg.Settings), d.log),
 		Log:            func(text string) { d.log.Info(text) },
--- a/cmd/cottonplank/listeners.go
+++ b/cmd/cottonplank/listeners.go
@@ -22,6 +22,9 @@
 // quicFlowsLink is the name of the link between the QUIC frontends of two processes during a hot restart.
 const quicFlowsLink = "quic-flows"
 
+// requestIDsLink is the name of the link over which two processes tell each other the IDs of requests.
+const requestIDsLink = "request-ids"
+
 // inheritSockets requests the sockets of a running process and adds the sockets that a service supervisor has passed.
 // Of two sockets with the same name, it keeps the running process's socket. It also applies the memory limit: while
 // two processes run, each gets half of it.
@@ -47,6 +50,9 @@
 			return err
 		}
 	}
+	if d.previousIDs, err = d.sockets.AcceptLink(requestIDsLink); err != nil {
+		return err
+	}
 	if err := d.openQUIC(); err != nil {
 		return err
 	}
--- a/cmd/cottonplank/restart.go
+++ b/cmd/cottonplank/restart.go
@@ -11,12 +11,16 @@
 	"cottonplank/internal/frontend/platform"
 	"cottonplank/internal/frontend/quic"
 	"cottonplank/internal/operations/hotrestart"
+	"cottonplank/internal/operations/requestid"
 )
 
 // exportLearnedTimeout bounds the wait for the engine to export its learned state for a replacement process. After the
 // timeout the replacement process receives none. The replacement process itself waits up to 1 s for the response.
 const exportLearnedTimeout = 400 * time.Millisecond
 
+// requestIDsTimeout bounds the wait for the request IDs of the previous process, before this process accepts clients.
+const requestIDsTimeout = time.Second
+
 // restartCoordinator decides, during a hot restart, whether this process accepts connections from the shared listener
 // and reads datagrams from the shared UDP sockets, which fraction of the limits it may use, and whether it stays a
 // member of the cluster. The goroutine of run owns all state.
@@ -26,7 +30,8 @@
 	frontend  *platform.Frontend
 	cluster   *gossip.Cluster // nil if no cluster membership is configured
 	quic      *quic.Frontend  // nil if QUIC is not configured
-	unlinked  bool            // the previous process may hold QUIC flows that it does not describe
+	ids       *requestid.Registry
+	unlinked  bool // the previous process may hold QUIC flows that it does not describe
 	clients   *hotrestart.Pauser
 	datagrams []*hotrestart.Pauser
 	updates   chan func()   // functions that change the state below; run calls them
@@ -51,6 +56,7 @@
 		frontend:  d.frontend,
 		cluster:   d.cluster,
 		quic:      d.quicFrontend,
+		ids:       d.requestIDs,
 		unlinked:  d.previous != nil && d.inheritedQUIC && d.previousQUIC == nil,
 		clients:   d.clientPauser,
 		datagrams: d.datagramPausers(),
@@ -77,6 +83,7 @@
 func (d *daemon) startHotRestart(ctx context.Context) {
 	exportLearned := func() []string { return d.engine.ExportLearned(exportLearnedTimeout) }
 	server := hotrestart.NewServer(d.restartPath, d.sockets, exportLearned, d.restart.setReplacements, d.log)
+	server.OfferLink(requestIDsLink, func(conn *net.UnixConn) { d.requestIDs.AddPeer(ctx, conn) })
 	if d.quicFrontend != nil {
 		server.OfferLink(quicFlowsLink, func(conn *net.UnixConn) { d.quicFrontend.AddReplacement(ctx, conn) })
 	}
@@ -123,6 +130,7 @@
 		c.engine.SkipListWait() // no process serves: serve at once, with the list known at the start
 	case <-c.engine.Ready():
 	}
+	c.ids.WaitForPeers(ctx, requestIDsTimeout)
 	c.post(func() { c.awaitingReadiness = false })
 	previous.NotifyServing()
 	go c.awaitExit(previous)
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -22,9 +22,9 @@
 	unusedCloseInterval = 200 * time.Millisecond
 	// defaultLinger replaces a ConnTraits.Linger of 0.
 	defaultLinger = 500 * time.Millisecond
-	// requestIDRetention is how long the ID of a request stays reserved after its connection was closed. A client may
+	// RequestIDRetention is how long the ID of a request stays reserved after its connection was closed. A client may
 	// have opened other connections with a copy of the same request before, and these may still wait to be accepted.
-	requestIDRetention = 10 * time.Second
+	RequestIDRetention = 10 * time.Second
 	// overloadRetryAfter is the retry-after of requests that are rejected without the decision module: requests
 	// beyond Config.MaxClients, and requests that arrive in the last part of a drain.
 	overloadRetryAfter = time.Second
@@ -96,9 +96,9 @@
 	// byID holds the calls whose request the decision module knows.
 	byID   map[decide.RequestID]*Call
 	lastID uint64
-	// clientIDs holds the reserved values of Request.ID: the IDs of open client connections, and of connections
-	// closed within the last requestIDRetention.
-	clientIDs map[string]struct{}
+	// clientIDs holds the claimed values of Request.ID: the IDs of open client connections, and of connections
+	// closed within the last RequestIDRetention.
+	clientIDs RequestIDs
 	// attempting holds the calls that have an active attempt and are not established.
 	attempting map[*Call]struct{}
 	// pending counts the calls in phasePending.
@@ -107,11 +107,14 @@
 	established int
 }
 
-func newCallTable() callTable {
+func newCallTable(ids RequestIDs) callTable {
+	if ids == nil {
+		ids = localRequestIDs{}
+	}
 	return callTable{
 		open:       map[*Call]struct{}{},
 		byID:       map[decide.RequestID]*Call{},
-		clientIDs:  map[string]struct{}{},
+		clientIDs:  ids,
 		attempting: map[*Call]struct{}{},
 	}
 }
@@ -205,7 +208,7 @@
 		}
 		c.stopAttemptTimers()
 		if id := c.request.ID; id != "" {
-			e.timers.set(e.now+requestIDRetention, func() { delete(e.calls.clientIDs, id) })
+			e.timers.set(e.now+RequestIDRetention, func() { e.calls.clientIDs.Release(id) })
 		}
 		delete(e.calls.open, c)
 		e.finishDrainIfIdle()
@@ -256,14 +259,13 @@
 	if r.ID == "" {
 		return true
 	}
-	if _, inUse := e.calls.clientIDs[r.ID]; inUse {
+	if !e.calls.clientIDs.Claim(r.ID) {
 		// Servers identify requests by their IDs, so this request must not reach a server while another one has the
 		// same ID. Its ID is cleared, so that ClientClosed does not release the other request's ID.
 		c.request.ID = ""
 		c.fail()
 		return false
 	}
-	e.calls.clientIDs[r.ID] = struct{}{}
 	return true
 }
 
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -28,6 +28,8 @@
 	Learned []decide.LearnedState
 	// StateTimeout is how long the transfer of a session's state may take; 0 disables resuming sessions.
 	StateTimeout time.Duration
+	// RequestIDs keeps the claimed values of Request.ID; nil if no other process claims any.
+	RequestIDs RequestIDs
 	// Watchdog observes the iterations of the event loop; nil if they are not observed.
 	Watchdog Watchdog
 	// Log writes a line to the operators' log.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -118,7 +118,8 @@
 
 // Request is a client's request for a connection.
 type Request struct {
-	// ID is the identifier that the client chose for the request, unique among all requests; empty if it chose none.
+	// ID is the identifier that the client chose for the request, unique among all requests; empty if it chose none. It
+	// contains no space.
 	ID string
 	// Class is an index into decide.Settings.Classes.
 	Class int
--- a/internal/core/engine.go
+++ b/internal/core/engine.go
@@ -92,7 +92,7 @@
 		ready:          make(chan struct{}),
 		now:            clockStart,
 		timers:         newTimerQueue(),
-		calls:          newCallTable(),
+		calls:          newCallTable(cfg.RequestIDs),
 		upstreams:      newUpstreamTable(),
 		probes:         newProbeTable(),
 		discoveryCalls: discoveryCalls{listUpdated: clockStart},
--- a/internal/operations/hotrestart/link.go
+++ b/internal/operations/hotrestart/link.go
@@ -18,8 +18,43 @@
 
 // OfferLink makes the server pass a link to each replacement process. It calls accept with this process's end once the
 // sockets have been passed; accept owns the connection, which keeps the boundaries of messages, and may be called from
-// several goroutines. There is at most one link. OfferLink must be called before Serve.
-func (s *Server) OfferLink(name string, accept func(*net.UnixConn)) { s.link = &link{name, accept} }
+// several goroutines. OfferLink must be called before Serve, once for each name.
+func (s *Server) OfferLink(name string, accept func(*net.UnixConn)) {
+	s.links = append(s.links, link{name, accept})
+}
+
+// linkEnds are the ends of new links, one for each link that the server offers: this process's, and the descriptors to
+// pass to the replacement process.
+type linkEnds struct {
+	own   []*net.UnixConn
+	other []int
+}
+
+// newLinkEnds returns the ends of new links.
+func (s *Server) newLinkEnds() (ends linkEnds, err error) {
+	for range s.links {
+		own, other, err := newLinkPair()
+		if err != nil {
+			ends.closeOwn()
+			ends.closeOther()
+			return linkEnds{}, err
+		}
+		ends.own, ends.other = append(ends.own, own), append(ends.other, other)
+	}
+	return ends, nil
+}
+
+func (e linkEnds) closeOwn() {
+	for _, conn := range e.own {
+		conn.Close()
+	}
+}
+
+func (e linkEnds) closeOther() {
+	for _, descriptor := range e.other {
+		unix.Close(descriptor)
+	}
+}
 
 // AcceptLink returns this process's end of the link that the previous process has passed, or nil if there is none.
 func (s *Sockets) AcceptLink(name string) (*net.UnixConn, error) {
--- a/internal/operations/hotrestart/server.go
+++ b/internal/operations/hotrestart/server.go
@@ -34,8 +34,8 @@
 	log     *logrus.Logger
 	changed func(Replacements)
 	learned func() []string
-	// link is offered to replacement processes; nil if there is none.
-	link *link
+	// links are offered to replacement processes.
+	links []link
 	// socketFile describes the Unix socket that this process has created at path; nil before that.
 	socketFile os.FileInfo
 	// connections waits for the goroutines that accept and serve connections. Serve returns only after them.
@@ -191,13 +191,13 @@
 		s.log.WithError(err).Warnf("hot restart: unknown request %.40q", request)
 		return
 	}
-	linkConn, err := s.passSockets(conn)
+	linkConns, err := s.passSockets(conn)
 	if err != nil {
 		s.log.WithError(err).Error("hot restart: the sockets were not passed on")
 		return
 	}
-	if linkConn != nil {
-		s.link.accept(linkConn)
+	for i, linkConn := range linkConns {
+		s.links[i].accept(linkConn)
 	}
 	conn.SetDeadline(time.Time{})
 	report := func(state replacementState) {
@@ -235,24 +235,25 @@
 }
 
 // passSockets sends the names and descriptors of the open sockets, unless the replacement process belongs to another
-// user. If the server offers a link, it sends one end of a new link too, and returns the other end.
-func (s *Server) passSockets(conn *net.UnixConn) (*net.UnixConn, error) {
+// user. For each link that the server offers, it sends one end of a new link too, and returns the other end.
+func (s *Server) passSockets(conn *net.UnixConn) ([]*net.UnixConn, error) {
 	if err := checkPeerUser(conn); err != nil {
 		return nil, err
 	}
-	if s.link == nil {
-		return nil, sendSockets(conn, s.sockets.open, nil, nil)
-	}
-	own, other, err := newLinkPair()
+	ends, err := s.newLinkEnds()
 	if err != nil {
 		return nil, err
 	}
-	defer unix.Close(other)
-	if err := sendSockets(conn, s.sockets.open, []string{s.link.name}, []int{other}); err != nil {
-		own.Close()
+	defer ends.closeOther()
+	var names []string
+	for _, link := range s.links {
+		names = append(names, link.name)
+	}
+	if err := sendSockets(conn, s.sockets.open, names, ends.other); err != nil {
+		ends.closeOwn()
 		return nil, err
 	}
-	return own, nil
+	return ends.own, nil
 }
 
 // sendSockets appends the remaining sockets to names and descriptors, and then sends both. It calls itself within
