Forward nothing more after a client has reset its connection

What room servers saw: a client that writes much to a room server that does not read, and then closes with much unread, is reset; the room server later got all that the balancer's system had taken from it (50,100 of 50,100 bytes), and with full buffers the reset was not noticed within 20 s.

Cause: a read returns the kernel's data before the reset, and a relay that waits in a write reads nothing. Ruled out that the data was written before the reset: the test begins the relay only after the reset has arrived.

Change: before a full buffer is forwarded, and each 0.25 s while the room server takes nothing, the relay asks the kernel for a reset; then it ends, and resets the room server's connection. Less than 4 KB may still pass. FIN is relayed as before.

TestUnreadDataIsDroppedAfterReset fails in both parts on the code before.

--- a/internal/frontend/platform/close_unused_test.go
+++ b/internal/frontend/platform/close_unused_test.go
@@ -141,7 +141,7 @@
 				t.Fatal("the actor goes on")
 			}
 			m.conn.Close()
-			waitUntil(t, "the reset", func() bool { return isReset(m.client) })
+			waitUntil(t, "the reset", func() bool { return isReset(m.client.conn) })
 		})
 	}
 }
--- a/internal/frontend/platform/manual_conn_test.go
+++ b/internal/frontend/platform/manual_conn_test.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"errors"
 	"net"
 	"strings"
 	"testing"
@@ -97,12 +96,6 @@
 	return int(tcpInfo(m.t, m.conn).Bytes_received)
 }
 
-// isReset reports whether the balancer's kernel has reset the client's connection.
-func isReset(c *testClient) bool {
-	_, err := peekSocket(c.conn)
-	return errors.Is(err, unix.ECONNRESET)
-}
-
 // tcpInfo returns what the kernel knows of a connection.
 func tcpInfo(t testing.TB, conn *net.TCPConn) *unix.TCPInfo {
 	t.Helper()
--- a/internal/frontend/platform/relay.go
+++ b/internal/frontend/platform/relay.go
@@ -5,14 +5,23 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"os"
+	"time"
 
 	"cottonplank/decide"
+
+	"golang.org/x/sys/unix"
 )
 
+// resetCheckInterval is the interval at which a write to a server that does not read is interrupted, to see whether the
+// client has reset its connection.
+const resetCheckInterval = 250 * time.Millisecond
+
 // relayToUpstream forwards the client's bytes as they arrive. It returns the error with which reading from the client
 // ended, or nil if the upstream connection failed. If the server does not read, relayToUpstream stops reading from
-// the client.
+// the client. What a client has sent before it reset its connection is not forwarded after the reset, if it fills the
+// buffer: the kernel returns the data that it holds before it returns the error.
 func (c *clientConn) relayToUpstream(up *upstreamConn) error {
 	for {
 		if _, err := c.text.R.Peek(1); err != nil {
@@ -20,13 +29,57 @@
 		}
 		c.setAwaitingResponse(true) // Before the write, as the response may follow it at once.
 		raw, _ := c.text.R.Peek(c.text.R.Buffered())
-		if _, err := up.conn.Write(raw); err != nil {
+		var err error
+		if len(raw) < c.text.R.Size() {
+			_, err = up.conn.Write(raw)
+		} else {
+			err = c.writeUnlessReset(up, raw)
+		}
+		if errors.Is(err, errClientReset) {
+			return err
+		}
+		if err != nil {
 			return nil // relayToClient reports how the server's side ended.
 		}
 		c.text.R.Discard(len(raw))
 	}
 }
 
+// errClientReset means that the client has reset its connection.
+var errClientReset = errors.New("the client has reset its connection")
+
+// writeUnlessReset writes data to the server. It returns errClientReset, after a part of the data or none, once the
+// client has reset its connection.
+func (c *clientConn) writeUnlessReset(up *upstreamConn, raw []byte) error {
+	defer up.conn.SetWriteDeadline(time.Time{})
+	for {
+		if isReset(c.conn) {
+			return errClientReset
+		}
+		up.conn.SetWriteDeadline(time.Now().Add(resetCheckInterval))
+		n, err := up.conn.Write(raw)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		raw = raw[n:]
+	}
+}
+
+// isReset reports whether the kernel has received a reset of the connection, also if unread data precedes it.
+func isReset(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	poll := []unix.PollFd{{}} // POLLERR is always reported
+	err = raw.Control(func(fd uintptr) {
+		poll[0].Fd = int32(fd)
+		// A failed poll counts as no reset.
+		_, _ = unix.Poll(poll, 0)
+	})
+	return err == nil && poll[0].Revents&unix.POLLERR != 0
+}
+
 // setAwaitingResponse records whether the client waits for a response, and reports each change to the engine.
 func (c *clientConn) setAwaitingResponse(awaiting bool) {
 	c.awaitingMutex.Lock()
--- a/internal/frontend/platform/relay_test.go
+++ b/internal/frontend/platform/relay_test.go
@@ -65,6 +65,64 @@
 	}
 }
 
+// Guards against requests that are sent on after their client has left: a client closes its connection, with a reset,
+// while the balancer has much of its data still to read, because the room server does not read. None of what was unread
+// then reaches the room server, and the room server gets a reset.
+func TestUnreadDataIsDroppedAfterReset(t *testing.T) {
+	t.Parallel()
+	line := strings.Repeat("x", 1000) + "\r\n"
+	newRelay := func(t *testing.T) (m manualReader, server *testClient) {
+		b := newTestBalancer(t)
+		conn, client := newTCPPair(t)
+		upstream, server := newTCPPair(t)
+		c := b.frontend.newClientConn(conn)
+		c.call = b.engine.Accept(c, core.ConnTraits{})
+		b.frontend.descriptors <- struct{}{} // the dial's descriptor, which the close releases
+		c.upstream = &upstreamConn{conn: upstream, text: textproto.NewConn(upstream), cancel: func() {}}
+		c.established = true
+		return manualReader{&manualConn{clientConn: c, t: t, balancer: b, client: client}}, server
+	}
+	readAll := func(server *testClient) (n int64, err error) { return io.Copy(io.Discard, server.r) }
+	t.Run("before it is read", func(t *testing.T) {
+		t.Parallel()
+		m, server := newRelay(t)
+		m.client.send(strings.Repeat(line, 50))
+		closeWithReset(m.client)
+		waitUntil(t, "the reset", func() bool { return isReset(m.conn) })
+		err := m.relayToUpstream(m.upstream)
+		if !errors.Is(err, errClientReset) || m.handleClientClosed(err) {
+			t.Errorf("the relay ended with %v", err)
+		}
+		if n, err := readAll(server); n > 0 || err == nil {
+			t.Errorf("the room server read %d bytes and then %v, want a reset only", n, err)
+		}
+	})
+	t.Run("while the room server does not read", func(t *testing.T) {
+		t.Parallel()
+		m, server := newRelay(t)
+		ended := make(chan error, 1)
+		go func() { ended <- m.relayToUpstream(m.upstream) }()
+		m.client.conn.SetWriteDeadline(time.Now().Add(time.Second))
+		for { // until the buffers on the way are full
+			if _, err := io.WriteString(m.client.conn, line); err != nil {
+				break
+			}
+		}
+		closeWithReset(m.client)
+		select {
+		case err := <-ended:
+			if !errors.Is(err, errClientReset) || m.handleClientClosed(err) {
+				t.Errorf("the relay ended with %v", err)
+			}
+		case <-time.After(waitTimeout):
+			t.Fatal("the relay goes on")
+		}
+		if _, err := readAll(server); err == nil {
+			t.Error("the room server got a regular end, want a reset")
+		}
+	})
+}
+
 // A room server that closes a connection with a FIN or a RST after the client has closed it has not failed. If this
 // counted as a failure, servers would be ejected because their clients disconnect, and clients that all disconnect at
 // once would find no server when they reconnect.
