--- a/cmd/cottonplank/requestid_test.go
+++ b/cmd/cottonplank/requestid_test.go
@@ -59,3 +59,38 @@
 		})
 	}
 }
+
+// Guards against request lines that are lost at an upgrade because the previous process has read a part of them: it
+// serves them, also when the rest comes after its SIGTERM. An ID that was used so is not run again by the new process.
+func TestHalfReadLinesAreServedAcrossUpgrade(t *testing.T) {
+	const clients = 100 // below what each of two processes may serve
+	d := newDeployment(t)
+	discovery := d.startDiscovery(false)
+	previous := d.start(discovery).waitReady()
+	next := d.start(discovery)
+	var half []testClient
+	var lines []string
+	for range clients { // begun before the new process is ready, and so accepted by the previous one
+		client, line := d.dial(), d.openLine()+"\r\n"
+		io.WriteString(client, line[:len(line)/2])
+		half, lines = append(half, client), append(lines, line)
+	}
+	next.waitReady()
+	previous.signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	for i, client := range half {
+		io.WriteString(client, lines[i][len(lines[i])/2:])
+	}
+	for i, client := range half {
+		if answer, err := client.reader.ReadString('\n'); err != nil || answer != "UP receipt\r\n" {
+			t.Errorf("client %d: %q, %v, want UP", i, answer, err)
+		}
+	}
+	d.exchange(d.dial(), strings.TrimSuffix(lines[0], "\r\n"), "ERR")
+	for _, client := range half {
+		client.Close()
+	}
+	previous.waitExit()
+	next.signal(syscall.SIGTERM)
+	next.waitExit()
+}
