Share the messages of a hot restart's links between QUIC flows and request ids

internal/frontend/quic and internal/operations/requestid read and wrote their links by the same code, written twice. It is hotrestart.MessageLink now; what is sent is as before.

--- a/internal/frontend/quic/handover.go
+++ b/internal/frontend/quic/handover.go
@@ -64,10 +64,10 @@
 // watchPeer makes the router receive a peer's messages as they arrive, until the connection or ctx ends. It runs in its
 // own goroutine.
 func (f *Frontend) watchPeer(ctx context.Context, p *peer) {
-	defer p.conn.Close()
-	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
+	defer p.link.Close()
+	defer context.AfterFunc(ctx, func() { p.link.Close() })()
 	for ended := false; !ended; {
-		waitErr := p.waitReadable()
+		waitErr := p.link.WaitReadable()
 		received := f.runInRouter(func() {
 			f.receiveFrom(ctx, p)
 			if waitErr != nil {
@@ -114,7 +114,7 @@
 		return
 	}
 	p.ended = true
-	p.conn.Close()
+	p.link.Close()
 	f.log.WithError(err).Info("quic: the connection to another process of the hot restart has ended")
 	f.peers = slices.DeleteFunc(f.peers, func(other *peer) bool { return other == p })
 	f.notifyPauseWaiters()
--- a/internal/operations/requestid/peer.go
+++ b/internal/operations/requestid/peer.go
@@ -1,15 +1,11 @@
 package requestid
 
 import (
-	"cmp"
 	"errors"
-	"io"
 	"net"
 	"strings"
-	"syscall"
-	"time"
 
-	"golang.org/x/sys/unix"
+	"cottonplank/internal/operations/hotrestart"
 )
 
 const (
@@ -19,8 +15,6 @@
 	idsPerMessage = 1024
 	// sendBufferBytes is the size of the send buffer of a link.
 	sendBufferBytes = 1 << 20
-	// sendTimeout limits the wait for a peer that does not read its messages. The engine waits this long.
-	sendTimeout = 200 * time.Millisecond
 )
 
 // The kinds of messages: the first byte of a message. The IDs follow, each with a separator before it.
@@ -66,13 +60,9 @@
 	return message{}, errUnknownMessage
 }
 
-// peer is the other process of a hot restart. The registry's mutex guards its methods, except waitReadable.
+// peer is the other process of a hot restart. The registry's mutex guards it, except WaitReadable of the link.
 type peer struct {
-	// conn keeps the boundaries of messages.
-	conn *net.UnixConn
-	raw  syscall.RawConn
-	// buffer receives a message.
-	buffer []byte
+	link *hotrestart.MessageLink
 	// complete is closed when the peer has told all IDs that were claimed when the link began.
 	complete chan struct{}
 	// ended is closed when the link has ended.
@@ -80,83 +70,57 @@
 }
 
 func newPeer(conn *net.UnixConn) (*peer, error) {
-	raw, err := conn.SyscallConn()
+	link, err := hotrestart.NewMessageLink(conn, maxMessageSize)
 	if err != nil {
 		return nil, err
 	}
-	if err := conn.SetWriteBuffer(sendBufferBytes); err != nil {
+	if err := link.SetWriteBuffer(sendBufferBytes); err != nil {
 		return nil, err
 	}
-	return &peer{
-		conn:     conn,
-		raw:      raw,
-		buffer:   make([]byte, maxMessageSize),
-		complete: make(chan struct{}),
-		ended:    make(chan struct{}),
-	}, nil
+	return &peer{link: link, complete: make(chan struct{}), ended: make(chan struct{})}, nil
 }
 
 // isEnded reports whether the link has ended.
-func (p *peer) isEnded() bool {
-	select {
-	case <-p.ended:
-		return true
-	default:
-		return false
-	}
-}
+func (p *peer) isEnded() bool { return isClosed(p.ended) }
 
 // close closes the link.
 func (p *peer) close() {
 	close(p.ended)
-	p.conn.Close()
+	p.link.Close()
 }
 
 // setComplete records that the peer has told all its IDs. It may be called again.
 func (p *peer) setComplete() {
+	if !isClosed(p.complete) {
+		close(p.complete)
+	}
+}
+
+// isClosed reports whether a channel to which nothing is sent is closed.
+func isClosed(channel <-chan struct{}) bool {
 	select {
-	case <-p.complete:
+	case <-channel:
+		return true
 	default:
-		close(p.complete)
+		return false
 	}
 }
 
-// send sends a message. After an error the link must be closed. It does nothing on a link that has ended.
+// send sends a message. The engine waits for it. After an error the link must be closed. send does nothing on a link
+// that has ended.
 func (p *peer) send(m message) error {
 	if p.isEnded() {
 		return nil
 	}
-	if err := p.conn.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
-		return err
-	}
-	_, err := p.conn.Write(m.encode())
-	return err
-}
-
-// waitReadable blocks until receive would return a message or an error.
-func (p *peer) waitReadable() error {
-	return p.raw.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		return !errors.Is(err, unix.EAGAIN)
-	})
+	return p.link.Send(m.encode())
 }
 
-// receive returns the peer's next message without blocking. ok is false if there is none now. An error ends the link;
-// it is io.EOF if the peer has closed its end.
+// receive returns the peer's next message without blocking. ok is false if there is none now. An error ends the link.
 func (p *peer) receive() (m message, ok bool, err error) {
-	var n int
-	var receiveErr error
-	err = p.raw.Control(func(fd uintptr) {
-		n, _, receiveErr = unix.Recvfrom(int(fd), p.buffer, unix.MSG_DONTWAIT)
-	})
-	switch err = cmp.Or(err, receiveErr); {
-	case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
-		return message{}, false, nil
-	case err == nil && n == 0:
-		return message{}, false, io.EOF
-	case err != nil:
+	raw, ok, err := p.link.Receive()
+	if err != nil || !ok {
 		return message{}, false, err
 	}
-	m, err = decodeMessage(p.buffer[:n])
+	m, err = decodeMessage(raw)
 	return m, err == nil, err
 }
--- a/internal/operations/requestid/registry.go
+++ b/internal/operations/requestid/registry.go
@@ -203,9 +203,9 @@
 
 // watch receives a peer's messages as they arrive, until the link or ctx ends. It runs in its own goroutine.
 func (r *Registry) watch(ctx context.Context, p *peer) {
-	defer context.AfterFunc(ctx, func() { p.conn.Close() })()
+	defer context.AfterFunc(ctx, func() { p.link.Close() })()
 	for !p.isEnded() {
-		waitErr := p.waitReadable()
+		waitErr := p.link.WaitReadable()
 		r.mu.Lock()
 		r.receive(p)
 		if waitErr != nil {
