--- a/internal/frontend/quic/flow_attempt.go
+++ b/internal/frontend/quic/flow_attempt.go
@@ -63,7 +63,7 @@
 		engine.AttemptEnded(fl.call, attempt.Number, decide.ConnectFailed, decide.NoLoadReport)
 		return
 	}
-	if err := keepErrors(conn); err != nil {
+	if err := enableErrorQueue(conn); err != nil {
 		fl.frontend.log.WithError(err).Warn("quic: cannot read the errors of a socket to a room server one by one")
 	}
 	up := &upstream{attempt: attempt.Number, server: attempt.Upstream.ID, conn: conn}
--- a/internal/frontend/quic/flow_eviction_test.go
+++ b/internal/frontend/quic/flow_eviction_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against standing clients that are cut off by a full flow table. Clients that change address and connection ID
-// in one step leave a silent flow behind each time; those make room, and new clients find room too. The flows of the
+// in one step leave an inactive flow behind each time; those make room, and new clients find room too. The flows of the
 // clients that stand are never evicted, and the engine counts no failure.
 func TestWalkingClientsAreNotCutOff(t *testing.T) {
 	t.Parallel()
@@ -138,14 +138,14 @@
 	}
 }
 
-// The longest silent established flow goes first. Flows with traffic, with a pending or answered request, or whose
+// The longest inactive established flow goes first. Flows with traffic, with a pending or answered request, or whose
 // client was made to reconnect, stay.
 func TestEvictionOrder(t *testing.T) {
 	table := newFlowTable()
 	now := time.Now()
-	add := func(name string, server decide.ServerID, silence time.Duration) *flow {
+	add := func(name string, server decide.ServerID, inactivity time.Duration) *flow {
 		fl := &flow{server: server}
-		fl.lastTraffic.Store(now.Add(-silence).UnixNano())
+		fl.lastTraffic.Store(now.Add(-inactivity).UnixNano())
 		table.add(fl, []byte(name))
 		return fl
 	}
@@ -153,8 +153,8 @@
 	add("active", 1, time.Second)
 	add("pending", 0, 9*time.Second)
 	add("reconnecting", 1, 9*time.Second).reconnecting = true
-	if got := table.silentSince(now.Add(-minSilence)); len(got) != 2 || got[0] != long || got[1] != short {
-		t.Errorf("%d flows are evictable, want the longest silent first, and two", len(got))
+	if got := table.inactiveSince(now.Add(-minInactivity)); len(got) != 2 || got[0] != long || got[1] != short {
+		t.Errorf("%d flows are evictable, want the longest inactive first, and two", len(got))
 	}
 	restored := add("restored", 0, 0)
 	restored.restoredAt = 1
--- a/internal/frontend/quic/frontend.go
+++ b/internal/frontend/quic/frontend.go
@@ -57,7 +57,7 @@
 	// Nothing is sent to the client or to the room server. Traffic is reported at intervals, so the flow may end up to
 	// Idle/trafficReportsPerIdle earlier.
 	Idle time.Duration
-	// MaxFlows is the maximum number of flows. When it is reached, flows that are silent make room (flow_eviction.go).
+	// MaxFlows is the maximum number of flows. When it is reached, inactive flows make room (flow_eviction.go).
 	// If there are none, further requests are rejected, and datagrams of established connections that have no flow may
 	// be dropped.
 	MaxFlows int
--- a/internal/frontend/quic/undelivered.go
+++ b/internal/frontend/quic/undelivered.go
@@ -14,9 +14,9 @@
 	extendedErrorMinSize = 16
 )
 
-// keepErrors makes the kernel keep each ICMP error of a socket, and the datagram that has caused it, for
+// enableErrorQueue makes the kernel keep each ICMP error of a socket, and the datagram that has caused it, for
 // countUndelivered. Without that, the socket has room for a single error.
-func keepErrors(conn *net.UDPConn) error {
+func enableErrorQueue(conn *net.UDPConn) error {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return err
--- a/internal/frontend/quic/undelivered_test.go
+++ b/internal/frontend/quic/undelivered_test.go
@@ -105,7 +105,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	if err := keepErrors(conn); err != nil {
+	if err := enableErrorQueue(conn); err != nil {
 		t.Fatal(err)
 	}
 	up := &upstream{conn: conn}
